--- /dev/null
+++ b/Makefile
@@ -0,0 +1,7 @@
+.PHONY: test build
+build:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/service.toml)"
+test: build
+	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	go vet ./...
+	go test -race ./...
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,142 @@
+package api
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	json "github.com/goccy/go-json"
+	"github.com/labstack/echo/v4"
+
+	"brassglade/internal/core"
+	"brassglade/internal/tuning"
+)
+
+// Backend is the node's event loop. Ask puts an event made for a request
+// number into the loop and waits for its answer; false: the stage behind is
+// full, or no answer came in time.
+type Backend interface {
+	Ask(worker bool, make func(req uint64) core.Event) (core.Effect, bool)
+	Ready() bool
+}
+
+type jsonCodec struct{}
+
+func (jsonCodec) Serialize(c echo.Context, i any, _ string) error {
+	b, err := json.Marshal(i)
+	if err != nil {
+		return err
+	}
+	_, err = c.Response().Write(b)
+	return err
+}
+
+func (jsonCodec) Deserialize(c echo.Context, i any) error {
+	return json.NewDecoder(c.Request().Body).Decode(i)
+}
+
+// New returns the HTTP server of users and workers.
+func New(b Backend) *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.JSONSerializer = jsonCodec{}
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		code := http.StatusInternalServerError
+		if h, ok := err.(*echo.HTTPError); ok {
+			code = h.Code
+		}
+		if !c.Response().Committed {
+			_ = c.JSON(code, failure{http.StatusText(code)})
+		}
+	}
+	h := handler{b}
+	e.GET("/up", h.up)
+	e.POST("/v1/jobs", h.submit)
+	e.GET("/v1/jobs/:id", h.poll)
+	e.POST("/v1/jobs/:id/abort", h.abort)
+	e.POST("/checkin", h.checkin)
+	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+}
+
+type handler struct{ b Backend }
+
+func body(c echo.Context) ([]byte, bool) {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.BodyLimit+1))
+	return b, err == nil && len(b) <= tuning.BodyLimit
+}
+
+func later(c echo.Context, why string) error {
+	c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfterS))
+	return c.JSON(http.StatusServiceUnavailable, failure{why})
+}
+
+func (h handler) up(c echo.Context) error {
+	if !h.b.Ready() {
+		return later(c, "not ready")
+	}
+	return c.JSON(http.StatusOK, struct{}{})
+}
+
+func (h handler) user(c echo.Context, make func(uint64) core.Event) error {
+	a, ok := h.b.Ask(false, make)
+	u, is := a.(core.EfUser)
+	if !ok || !is {
+		return later(c, "busy")
+	}
+	switch {
+	case u.Status == 200 || u.Status == 201:
+		return c.JSON(u.Status, jobAnswer{u.ID, u.State, u.Done, u.Running})
+	case u.Status == 503:
+		return later(c, u.Reason)
+	}
+	return c.JSON(u.Status, failure{u.Reason})
+}
+
+func (h handler) submit(c echo.Context) error {
+	b, ok := body(c)
+	if !ok {
+		return c.JSON(http.StatusBadRequest, failure{"body unreadable or over 64 KiB"})
+	}
+	id, spec := ParseSubmission(b)
+	return h.user(c, func(r uint64) core.Event { return core.EvSubmit{Req: r, ID: id, Spec: spec} })
+}
+
+func (h handler) poll(c echo.Context) error {
+	id := c.Param("id")
+	if !idForm.MatchString(id) {
+		return c.JSON(http.StatusNotFound, failure{"no such job"})
+	}
+	return h.user(c, func(r uint64) core.Event { return core.EvPoll{Req: r, ID: id} })
+}
+
+func (h handler) abort(c echo.Context) error {
+	id := c.Param("id")
+	if !idForm.MatchString(id) {
+		return c.JSON(http.StatusNotFound, failure{"no such job"})
+	}
+	return h.user(c, func(r uint64) core.Event { return core.EvAbort{Req: r, ID: id} })
+}
+
+func (h handler) checkin(c echo.Context) error {
+	b, ok := body(c)
+	var r core.Report
+	if ok {
+		r, ok = ParseReport(b)
+	}
+	if !ok {
+		return c.JSON(http.StatusBadRequest, failure{"malformed report"})
+	}
+	a, ok := h.b.Ask(true, func(req uint64) core.Event { return core.EvCheckin{Req: req, R: r} })
+	w, is := a.(core.EfCheckin)
+	if !ok || !is {
+		return later(c, "busy")
+	}
+	switch w.Status {
+	case 200:
+		return c.JSON(200, checkinAnswer{w.Baton, orders(w.Orders)})
+	case 421:
+		return c.JSON(421, foreman{w.Owner})
+	}
+	return later(c, "not entitled")
+}
--- /dev/null
+++ b/internal/api/user.go
@@ -0,0 +1,106 @@
+package api
+
+import (
+	"math"
+	"regexp"
+
+	json "github.com/goccy/go-json"
+
+	"github.com/go-playground/validator/v10"
+
+	"brassglade/internal/core"
+)
+
+// submission is the body of POST /v1/jobs. Pointers tell a missing field from
+// a zero; Builds, Yard and DueS may be null or missing.
+type submission struct {
+	NameId    *string   `json:"NameId" validate:"required"`
+	Docket    *string   `json:"Docket" validate:"required,min=1"`
+	Crew      *string   `json:"Crew" validate:"required,min=1"`
+	Shape     *string   `json:"Shape" validate:"required,oneof=batch group daemon"`
+	Urgency   *string   `json:"Urgency" validate:"required,oneof=production urgent standard idle"`
+	Pieces    *int64    `json:"Pieces" validate:"required,min=1,max=100000"`
+	Cores     *float64  `json:"Cores" validate:"required,amount"`
+	Cards     *float64  `json:"Cards" validate:"required,amount"`
+	MemGb     *float64  `json:"MemGb" validate:"required,amount"`
+	Kit       *string   `json:"Kit" validate:"required"`
+	PullGb    *float64  `json:"PullGb" validate:"required,amount"`
+	Builds    *[]string `json:"Builds"`
+	Yard      *string   `json:"Yard"`
+	SamePlace *bool     `json:"SamePlace" validate:"required"`
+	Apart     *bool     `json:"Apart" validate:"required"`
+	Loaners   *bool     `json:"Loaners" validate:"required"`
+	ExpectS   *float64  `json:"ExpectS" validate:"required,amount"`
+	SnapshotS *float64  `json:"SnapshotS" validate:"required,amount"`
+	StowS     *float64  `json:"StowS" validate:"required,amount"`
+	DueS      *float64  `json:"DueS" validate:"omitempty,amount"`
+}
+
+type jobAnswer struct {
+	NameId  string `json:"NameId"`
+	Status  string `json:"Status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+type failure struct {
+	Error string `json:"error"`
+}
+
+// amountMost bounds amounts so that sums in thousandths can't overflow.
+const amountMost = 1e9
+
+var (
+	idForm = regexp.MustCompile(`^job-[0-9]{6,20}$`)
+	check  = newCheck()
+	shapes = map[string]core.Shape{"batch": core.Array, "group": core.Gang, "daemon": core.Service}
+	prios  = map[string]int{"production": 3, "urgent": 2, "standard": 1, "idle": 0}
+)
+
+func newCheck() *validator.Validate {
+	v := validator.New()
+	if err := v.RegisterValidation("amount", func(f validator.FieldLevel) bool {
+		x := f.Field().Float()
+		return x >= 0 && x <= amountMost && !math.IsNaN(x)
+	}); err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// ParseSubmission reads a submission. A malformed one gives its id, if that
+// much is legible, and no spec.
+func ParseSubmission(b []byte) (id string, spec *core.Spec) {
+	var loose map[string]json.RawMessage
+	if json.Unmarshal(b, &loose) != nil || loose == nil {
+		return "", nil
+	}
+	if json.Unmarshal(loose["NameId"], &id) != nil || !idForm.MatchString(id) {
+		return "", nil
+	}
+	var s submission
+	if json.Unmarshal(b, &s) != nil || check.Struct(&s) != nil {
+		return id, nil
+	}
+	sp := &core.Spec{
+		ID: id, Class: *s.Docket, Team: *s.Crew, Shape: shapes[*s.Shape], Prio: prios[*s.Urgency], N: int(*s.Pieces),
+		Need:    core.Res{CPU: milli(*s.Cores), GPU: milli(*s.Cards), Mem: milli(*s.MemGb)},
+		OneZone: *s.SamePlace, Spread: *s.Apart, Spot: *s.Loaners, Image: *s.Kit, ImageGB: *s.PullGb,
+		Est: *s.ExpectS, Ckpt: *s.SnapshotS, Save: *s.StowS,
+	}
+	if s.Builds != nil {
+		sp.Types = *s.Builds
+		if len(sp.Types) == 0 {
+			sp.Types = []string{"-"} // an empty list allows nothing
+		}
+	}
+	if s.Yard != nil {
+		sp.Zone = *s.Yard
+	}
+	if s.DueS != nil {
+		sp.Due = *s.DueS
+	}
+	return id, sp
+}
+
+func milli(x float64) int64 { return int64(math.Round(x * 1000)) }
--- /dev/null
+++ b/internal/api/worker.go
@@ -0,0 +1,115 @@
+// Package api is the HTTP side: users and workers, with the boundary structs
+// that carry the protocol's JSON names.
+package api
+
+import (
+	"strconv"
+	"strings"
+
+	json "github.com/goccy/go-json"
+
+	"brassglade/internal/core"
+)
+
+type pieceReport struct {
+	Piece  string `json:"Piece"`
+	Try    uint64 `json:"Try"`
+	Status string `json:"Status"`
+	Cause  string `json:"Cause"`
+	Saved  bool   `json:"Saved"`
+}
+
+type checkin struct {
+	Bracket string        `json:"Bracket"`
+	Address string        `json:"Address"`
+	Build   string        `json:"Build"`
+	Yard    string        `json:"Yard"`
+	Loaners bool          `json:"Loaners"`
+	Shift   uint64        `json:"Shift"`
+	Tally   uint64        `json:"Tally"`
+	Baton   uint64        `json:"Baton"`
+	RecallS *float64      `json:"RecallS"`
+	Pieces  []pieceReport `json:"Pieces"`
+}
+
+type order struct {
+	Verb    string   `json:"Verb"`
+	Piece   string   `json:"Piece"`
+	Try     uint64   `json:"Try"`
+	LeewayS *float64 `json:"LeewayS,omitempty"`
+}
+
+type checkinAnswer struct {
+	Baton  uint64  `json:"Baton"`
+	Orders []order `json:"Orders"`
+}
+
+type foreman struct {
+	Foreman string `json:"Foreman,omitempty"`
+}
+
+// Commands is the body of POST /commands.
+type Commands struct {
+	Baton  uint64  `json:"Baton"`
+	Shift  uint64  `json:"Shift"`
+	Orders []order `json:"Orders"`
+}
+
+// NewCommands makes the body of a direct order.
+func NewCommands(e core.EfDirect) Commands {
+	return Commands{e.Baton, e.Shift, orders(e.Orders)}
+}
+
+var states = map[string]string{
+	"fetching": core.SeenFetching, "gathering": core.SeenWaiting, "running": core.SeenRunning,
+	"saving": core.SeenSaving, "ended": core.SeenEnded,
+}
+
+func cause(s string) string {
+	if s == "no_such" {
+		return core.CauseUnknown
+	}
+	return s // the others are called the same inside
+}
+
+func orders(os []core.Order) []order {
+	l := make([]order, len(os))
+	for i, o := range os {
+		l[i] = order{Verb: string(o.Verb), Piece: o.Task.Job + "/" + strconv.Itoa(o.Task.I), Try: o.Attempt}
+		if o.Verb == core.Halt {
+			v := o.Leeway
+			l[i].LeewayS = &v
+		}
+	}
+	return l
+}
+
+// ParseReport reads a worker's report; false: malformed.
+func ParseReport(b []byte) (core.Report, bool) {
+	var c checkin
+	if json.Unmarshal(b, &c) != nil || c.Bracket == "" || c.Shift == 0 {
+		return core.Report{}, false
+	}
+	r := core.Report{
+		Machine: c.Bracket, Addr: c.Address, Type: c.Build, Zone: c.Yard, Spot: c.Loaners,
+		Shift: c.Shift, Tally: c.Tally, Baton: c.Baton, Recall: -1,
+	}
+	if c.RecallS != nil {
+		r.Recall = max(*c.RecallS, 0)
+	}
+	for _, p := range c.Pieces {
+		k := strings.LastIndexByte(p.Piece, '/')
+		if k < 0 {
+			return r, false
+		}
+		i, err := strconv.Atoi(p.Piece[k+1:])
+		st, ok := states[p.Status]
+		if err != nil || !ok {
+			return r, false
+		}
+		r.Tasks = append(r.Tasks, core.Seen{
+			Task: core.TaskID{Job: p.Piece[:k], I: i}, Attempt: p.Try, State: st, Cause: cause(p.Cause), Saved: p.Saved,
+		})
+	}
+	return r, true
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,181 @@
+// Package config reads the platform's settings file (JSON) and the operators'
+// own (YAML).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	json "github.com/goccy/go-json"
+	"github.com/goccy/go-yaml"
+
+	"brassglade/internal/core"
+	"brassglade/internal/tuning"
+)
+
+// Member is another controller.
+type Member struct {
+	Member  string `json:"member" validate:"required"`
+	Domain  string `json:"domain"`
+	Address string `json:"address" validate:"required,hostname_port"`
+}
+
+// Team of the settings.
+type Team struct {
+	Name    string  `json:"name" validate:"required"`
+	Cpus    float64 `json:"cpus" validate:"gte=0"`
+	CpusMax float64 `json:"cpus_max" validate:"gte=0"`
+	Gpus    float64 `json:"gpus" validate:"gte=0"`
+	GpusMax float64 `json:"gpus_max" validate:"gte=0"`
+}
+
+// Objective of the settings.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+}
+
+// Settings is the platform's file.
+type Settings struct {
+	Member   string   `json:"member" validate:"required"`
+	Domain   string   `json:"domain"`
+	ServeOn  string   `json:"serve_on" validate:"required,hostname_port"`
+	Back     string   `json:"back" validate:"required,hostname_port"`
+	Members  []Member `json:"members" validate:"dive"`
+	External struct {
+		Cloud string `json:"cloud" validate:"required,hostname_port"`
+		State string `json:"state" validate:"required,hostname_port"`
+	} `json:"external"`
+	Params struct {
+		Zones      []string    `json:"zones"`
+		Teams      []Team      `json:"teams" validate:"required,dive"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			ReportS   float64 `json:"report_s" validate:"gt=0"`
+			LeaseS    float64 `json:"lease_s" validate:"gt=0"`
+			GangWaitS float64 `json:"gang_wait_s" validate:"gte=0"`
+			GangPeerS float64 `json:"gang_peer_s" validate:"gte=0"`
+			CancelS   float64 `json:"cancel_s" validate:"gt=0"`
+		} `json:"workers"`
+		State struct {
+			Rps      float64 `json:"rps" validate:"gt=0"`
+			WriteRps float64 `json:"write_rps" validate:"gt=0"`
+			ValueKb  float64 `json:"value_kb" validate:"gte=1"`
+			TxnOps   int     `json:"txn_ops" validate:"gte=4"`
+		} `json:"state"`
+		Cloud struct {
+			Rps      float64 `json:"rps" validate:"gt=0"`
+			ListLagS float64 `json:"list_lag_s" validate:"gte=0"`
+		} `json:"cloud"`
+		MachineLimits struct {
+			CPU   float64 `json:"cpu" validate:"gte=0"`
+			RamMb float64 `json:"ram_mb" validate:"gte=0"`
+			Conns int     `json:"max_connections" validate:"gte=0"`
+		} `json:"machine_limits"`
+		SkewMs float64 `json:"skew_ms" validate:"gte=0"`
+	} `json:"params"`
+}
+
+// Operator is the operators' own file; its unknown keys are refused.
+type Operator struct {
+	Learn *bool `yaml:"learn"`
+	Spare *int  `yaml:"spare" validate:"omitempty,gte=0,lte=50"`
+}
+
+// Load reads and checks a settings file; the error names every fault by field.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks settings.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := faults(s); err != nil {
+		return nil, err
+	}
+	w := s.Params.Workers
+	if need := tuning.Fence.Seconds() + w.LeaseS*1.001 + tuning.DriftMargin.Seconds(); need >= w.CancelS {
+		return nil, fmt.Errorf("params.workers.cancel_s: %g s is too short: fence, lease_s and margins take %.1f s", w.CancelS, need)
+	}
+	return s, nil
+}
+
+func faults(s any) error {
+	err := validator.New().Struct(s)
+	var fs validator.ValidationErrors
+	if !errors.As(err, &fs) {
+		return err
+	}
+	var l []string
+	for _, f := range fs {
+		l = append(l, fmt.Sprintf("%s: %q breaks rule %s %s", strings.TrimPrefix(f.Namespace(), "Settings."), fmt.Sprint(f.Value()), f.Tag(), f.Param()))
+	}
+	return errors.New(strings.Join(l, "\n"))
+}
+
+// LoadOperator reads the operators' file.
+func LoadOperator(path string) (*Operator, error) {
+	o := &Operator{}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := yaml.UnmarshalWithOptions(b, o, yaml.DisallowUnknownField()); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, faults(o)
+}
+
+func secs(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+func milli(x float64) int64 { return int64(x*1000 + 0.5) }
+
+// Core gives the core's settings.
+func (s *Settings) Core(o *Operator, seed uint64) core.Settings {
+	p := s.Params
+	c := core.Settings{
+		Node: s.Member, Zone: s.Domain, Nodes: []string{s.Member}, Teams: map[string]core.Limits{}, Zones: p.Zones,
+		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
+		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
+		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Wait: map[string]float64{}, Spare: tuning.Spare, Learn: true,
+	}
+	for _, m := range s.Members {
+		c.Nodes = append(c.Nodes, m.Member)
+	}
+	slices.Sort(c.Nodes)
+	for _, t := range p.Teams {
+		c.Teams[t.Name] = core.Limits{
+			Guar: core.Res{CPU: milli(t.Cpus), GPU: milli(t.Gpus)},
+			Max:  core.Res{CPU: milli(t.CpusMax), GPU: milli(t.GpusMax)},
+		}
+	}
+	for _, x := range p.Objectives {
+		if x.Kind == "wait" && x.Class != "" {
+			c.Wait[x.Class] = x.WithinS
+		}
+	}
+	if o != nil {
+		if o.Learn != nil {
+			c.Learn = *o.Learn
+		}
+		if o.Spare != nil {
+			c.Spare = *o.Spare
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,350 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// grantState is where the node's own grant stands.
+type grantState int
+
+const (
+	grantNone    grantState = iota // none, none asked for
+	grantAsked                     // asked for
+	grantHeld                      // held, member key not yet written
+	grantWriting                   // member key on its way
+	grantMember                    // member key written
+)
+
+// Core is one node's whole state.
+type Core struct {
+	cfg   Settings
+	inc   string
+	rng   *rand.Rand
+	now   time.Duration
+	out   []Effect
+	st    store
+	dirty bool
+
+	synced bool
+
+	// grant and member key
+	grant     grantState
+	permit    uint64
+	grantAt   time.Duration // when the grant was last known to live, by sending time
+	renewAt   time.Duration
+	renewSent time.Duration
+	renewing  bool
+
+	// confirmations: fence and read index
+	confirming  bool
+	confirmSent time.Duration
+	confirmAt   time.Duration // earliest next
+	confirms    []confirm
+	fenceAt     time.Duration // sending time of the newest confirmation, < 0: none
+	readAt      time.Duration // sending time of the newest read index reached
+	stateOK     bool
+
+	// commits
+	nextID   uint64
+	commits  map[uint64]*pendingCommit
+	task     *pendingCommit // the one task commit in flight
+	blocked  time.Duration  // no task commit before
+	needRead uint64         // cache must reach this ledger before the next
+
+	// users
+	waiters []waiter
+	subs    map[string]bool
+
+	// view
+	proposing bool
+	proposeAt time.Duration
+	bounces   map[string][]bounce
+	offSince  map[string]time.Duration
+
+	// machines
+	mach    map[string]*Machine
+	placed  map[TaskID]string
+	doomed  map[doom]bool
+	held    map[uint64]*heldCheckin
+	peers   map[string]*peerView
+	drawAt  time.Duration
+	stealAt time.Duration
+	give    []TaskID // tasks to hand over, with c.giveTo
+	giveTo  map[TaskID]string
+	runs    map[string]*runStat
+
+	planMach map[string]bool // machines that the task commit in flight concerns
+	marking  map[string]bool // marks on their way
+
+	fleet fleet
+	learn learner
+}
+
+type confirm struct {
+	sent   time.Duration
+	ledger uint64
+	same   bool
+}
+
+type doom struct {
+	T TaskID
+	A uint64
+}
+
+type pendingCommit struct {
+	id   uint64
+	t    Txn
+	done func(CommitResult, EvCommit)
+}
+
+// New returns a core for one incarnation; inc is unique among incarnations.
+func New(cfg Settings, inc string) *Core {
+	c := &Core{
+		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(inc))),
+		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1,
+		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
+		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
+		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
+		held: map[uint64]*heldCheckin{}, peers: map[string]*peerView{},
+		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
+	}
+	c.fleet.init()
+	c.learn.init(cfg.Node)
+	return c
+}
+
+// Step takes one event and returns the effects to carry out, in order.
+func (c *Core) Step(now time.Duration, ev Event) []Effect {
+	c.now = max(c.now, now)
+	c.out = c.out[:0:0]
+	switch e := ev.(type) {
+	case EvTick:
+	case EvSnapshot:
+		c.snapshot(e)
+		c.settleConfirms()
+	case EvWatch:
+		for _, kv := range e.Items {
+			c.apply(kv)
+		}
+		c.st.ledger = max(c.st.ledger, e.Ledger)
+		c.settleConfirms()
+	case EvConfirm:
+		c.onConfirm(e)
+	case EvCommit:
+		c.onCommit(e)
+	case EvGrant:
+		c.onGrant(e)
+	case EvRenew:
+		c.onRenew(e)
+	case EvCheckin:
+		c.onCheckin(e)
+	case EvDirect:
+		c.onDirect(e)
+	case EvSubmit:
+		c.onSubmit(e)
+	case EvPoll:
+		c.onPoll(e.Req, e.ID, false)
+	case EvAbort:
+		c.onAbort(e)
+	case EvFlavors:
+		c.onFlavors(e)
+	case EvList:
+		c.onList(e)
+	case EvRented:
+		c.onRented(e)
+	case EvReturned:
+		c.onReturned(e)
+	case EvPeer:
+		c.onPeer(e)
+	default:
+		panic(fmt.Sprintf("unknown event %T", ev))
+	}
+	c.drive()
+	return c.out
+}
+
+// drive does what is due now, whatever the event was.
+func (c *Core) drive() {
+	c.driveGrant()
+	c.driveConfirm()
+	c.driveView()
+	c.driveWaiters()
+	if c.synced {
+		c.drivePlace()
+		c.drivePlan()
+		c.driveFleet()
+		c.driveLearn()
+		c.driveMachines()
+	}
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) log(level int, msg string, args ...any) {
+	c.emit(EfLog{Level: level, Msg: msg, Args: args})
+}
+
+// --- grant and member key ---
+
+func (c *Core) setGrant(s grantState) {
+	if c.grant != s {
+		c.grant = s
+		c.log(2, "grant", "state", int(s), "permit", c.permit)
+	}
+}
+
+func (c *Core) driveGrant() {
+	switch c.grant {
+	case grantNone:
+		if c.now >= c.renewAt {
+			c.renewSent = c.now
+			c.setGrant(grantAsked)
+			c.emit(EfGrant{Life: tuning.GrantLife})
+		}
+	case grantHeld:
+		c.writeMember()
+	}
+	if c.grant >= grantHeld && !c.renewing && c.now >= c.renewAt {
+		c.renewing, c.renewSent = true, c.now
+		c.emit(EfRenew{Permit: c.permit})
+	}
+	// The cache may show that the member key is gone although the grant lives
+	// (an older incarnation's expiry, or a late write of it).
+	if c.grant == grantMember && c.synced && c.st.members[c.cfg.Node] != c.inc && c.now >= c.renewAt-tuning.RenewEvery/2 {
+		c.setGrant(grantHeld)
+	}
+}
+
+func (c *Core) onGrant(e EvGrant) {
+	if !e.OK {
+		c.renewAt = c.now + tuning.ConfirmRetry
+		c.setGrant(grantNone)
+		return
+	}
+	c.permit, c.grantAt = e.Permit, c.renewSent
+	c.renewAt = c.renewSent + tuning.RenewEvery
+	c.setGrant(grantHeld)
+}
+
+func (c *Core) onRenew(e EvRenew) {
+	c.renewing = false
+	switch {
+	case e.Gone:
+		c.renewAt = c.now
+		c.setGrant(grantNone)
+	case e.OK:
+		c.grantAt = c.renewSent
+		c.renewAt = c.renewSent + tuning.RenewEvery
+	default:
+		c.renewAt = c.now + tuning.ConfirmRetry
+	}
+}
+
+func (c *Core) writeMember() {
+	c.setGrant(grantWriting)
+	permit := c.permit
+	t := Txn{Apply: []Put{{Key: preMember + c.cfg.Node, Value: enc(c.inc), Permit: permit}}}
+	c.commit(LaneView, t, func(r CommitResult, _ EvCommit) {
+		if c.grant != grantWriting {
+			return
+		}
+		if r == Committed {
+			c.setGrant(grantMember)
+		} else {
+			c.renewAt = min(c.renewAt, c.now+tuning.ConfirmRetry)
+			c.setGrant(grantHeld)
+		}
+	})
+}
+
+// --- confirmations ---
+
+// fenceOK tells whether this node may act as a controller now: it has
+// confirmed view and grant by requests sent under Fence ago, the cache has
+// reached what they saw, and the view has it as this incarnation.
+func (c *Core) fenceOK() bool {
+	return c.synced && c.st.view != nil && c.st.view.Members[c.cfg.Node] == c.inc &&
+		c.fenceAt >= 0 && c.now-c.fenceAt < tuning.Fence &&
+		c.grantAt >= 0 && c.now-c.grantAt < tuning.Fence
+}
+
+func (c *Core) driveConfirm() {
+	if c.confirming || !c.synced || c.now < c.confirmAt {
+		return
+	}
+	due := c.now-c.confirmSent >= tuning.ConfirmEvery || c.fenceAt < 0
+	for _, w := range c.waiters {
+		due = due || w.at >= c.confirmSent
+	}
+	if !due {
+		return
+	}
+	c.confirming, c.confirmSent = true, c.now
+	c.emit(EfConfirm{Key: keyView, Stamp: c.st.stamps[keyView]})
+}
+
+func (c *Core) onConfirm(e EvConfirm) {
+	c.confirming = false
+	c.confirmAt = c.now + tuning.ConfirmGap
+	c.stateOK = e.OK
+	if !e.OK {
+		c.confirmAt = c.now + tuning.ConfirmRetry
+		c.failWaiters()
+		return
+	}
+	c.confirms = append(c.confirms, confirm{c.confirmSent, e.Ledger, e.Same})
+	c.settleConfirms()
+}
+
+// settleConfirms counts the confirmations that the cache has caught up with.
+// Without that a node whose watch hangs would act on old cancellations.
+func (c *Core) settleConfirms() {
+	keep := c.confirms[:0]
+	for _, f := range c.confirms {
+		if f.ledger > c.st.ledger {
+			keep = append(keep, f)
+			continue
+		}
+		c.readAt = max(c.readAt, f.sent)
+		if f.same {
+			c.fenceAt = max(c.fenceAt, f.sent)
+		}
+	}
+	if len(keep) > 16 {
+		keep = keep[len(keep)-16:]
+	}
+	c.confirms = keep
+	c.wakeWaiters()
+}
+
+// --- commits ---
+
+func (c *Core) commit(lane int, t Txn, done func(CommitResult, EvCommit)) *pendingCommit {
+	c.nextID++
+	p := &pendingCommit{id: c.nextID, t: t, done: done}
+	c.commits[p.id] = p
+	c.emit(EfCommit{ID: p.id, Lane: lane, T: t})
+	return p
+}
+
+func (c *Core) onCommit(e EvCommit) {
+	p := c.commits[e.ID]
+	if p == nil {
+		return
+	}
+	delete(c.commits, e.ID)
+	if e.Result == Committed {
+		for _, a := range p.t.Apply {
+			// The view is taken from the watch alone, so that whoever sees
+			// epoch e has seen all commits of earlier epochs.
+			if a.Key != keyView {
+				c.apply(KV{Key: a.Key, Value: a.Value, Stamp: e.Ledger})
+			}
+		}
+	}
+	p.done(e.Result, e)
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,515 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// option is a kind of machine that can be rented.
+type option struct {
+	typ, zone string
+	spot      bool
+}
+
+type pause struct {
+	till time.Duration
+	n    int
+}
+
+// fleet is the leader's care for machines. All of it is rebuilt from the
+// cloud's list and the cache by a new leader.
+type fleet struct {
+	list      map[string]Inst
+	listed    bool
+	listing   bool
+	listSent  time.Duration
+	listAt    time.Duration
+	born      map[string]Inst          // rented, not yet listed
+	bornAt    map[string]time.Duration // when first known here
+	hireN     int
+	renting   map[string]rent
+	pauses    map[option]pause
+	returning bool
+	backoff   time.Duration
+	hold      map[string]bool
+	idle      map[string]time.Duration
+	decideAt  time.Duration
+	flavAt    time.Duration
+	flavBusy  bool
+	wholeSeen map[string]wholeSeen
+}
+
+type wholeSeen struct {
+	sp *Spec
+	at time.Duration
+}
+
+type rent struct {
+	e  EfRent
+	at time.Duration
+}
+
+func (f *fleet) init() { f.reset(0) }
+
+func (f *fleet) reset(time.Duration) {
+	n := f.hireN
+	*f = fleet{
+		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{},
+		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
+	}
+}
+
+func (c *Core) driveFleet() {
+	f := &c.fleet
+	if !c.fenceOK() || !c.isLeader() {
+		return
+	}
+	if !f.flavBusy && c.now >= f.flavAt {
+		f.flavBusy = true
+		c.emit(EfFlavors{})
+	}
+	if len(c.st.flavors) == 0 {
+		return
+	}
+	if !f.listing && c.now >= f.listAt {
+		f.listing, f.listSent = true, c.now
+		c.emit(EfList{})
+	}
+	if c.now < f.decideAt {
+		return
+	}
+	f.decideAt = c.now + tuning.FleetEvery
+	c.decideReturns()
+	if f.listed {
+		c.decideMarks()
+		c.decideHolds()
+		c.decideRents()
+	}
+}
+
+func (c *Core) onFlavors(e EvFlavors) {
+	f := &c.fleet
+	f.flavBusy = false
+	if !e.OK {
+		f.flavAt = c.now + 3*time.Second
+		return
+	}
+	f.flavAt = c.now + tuning.FlavorsEvery
+	b := enc(Flavors{e.F})
+	if c.isLeader() && string(b) != string(enc(Flavors{c.st.flavors})) {
+		c.commit(LaneUser, Txn{
+			When:  []Cond{{keyView, c.st.stamps[keyView]}},
+			Apply: []Put{{Key: keyFlavors, Value: b}},
+		}, func(r CommitResult, _ EvCommit) {
+			if r != Committed {
+				c.fleet.flavAt = c.now + time.Second
+			}
+		})
+	}
+}
+
+func (c *Core) onList(e EvList) {
+	f := &c.fleet
+	f.listing = false
+	f.listAt = c.now + tuning.ListEvery
+	if !e.OK {
+		return
+	}
+	f.listed = true
+	f.list = map[string]Inst{}
+	for _, i := range e.L {
+		f.list[i.Name] = i
+		delete(f.born, i.Name)
+		if _, ok := f.bornAt[i.Name]; !ok {
+			f.bornAt[i.Name] = c.now - time.Duration(i.Held*float64(time.Second))
+		}
+	}
+	for n := range f.bornAt {
+		_, l := f.list[n]
+		_, b := f.born[n]
+		if !l && !b && c.now-f.bornAt[n] > 5*time.Minute {
+			delete(f.bornAt, n)
+			delete(f.idle, n)
+		}
+	}
+}
+
+// known is a machine that the leader counts on or has to care for.
+type known struct {
+	Inst
+	up   bool
+	mark MachineMark
+	free Res
+	busy int
+}
+
+// machines joins list, own rentals and what the nodes hear.
+func (c *Core) machines() []known {
+	f := &c.fleet
+	all := map[string]*known{}
+	for n, i := range f.list {
+		all[n] = &known{Inst: i}
+	}
+	for n, i := range f.born {
+		if c.now-f.bornAt[n] > 2*time.Minute+2*c.cfg.ListLag && all[n] == nil {
+			delete(f.born, n) // never listed: gone again
+			continue
+		}
+		if all[n] == nil {
+			all[n] = &known{Inst: i}
+		}
+	}
+	for _, i := range c.inventory() {
+		k := all[i.name]
+		if k == nil {
+			k = &known{Inst: Inst{Name: i.name, Addr: i.addr, Type: i.typ, Zone: i.zone, Spot: i.spot, Status: "running"}}
+			all[i.name] = k
+		}
+		k.up = true
+		if _, ok := f.bornAt[i.name]; !ok {
+			f.bornAt[i.name] = c.now
+		}
+	}
+	var l []known
+	for n, k := range all {
+		k.mark = c.st.marks[n]
+		if k.mark.State == MarkGone {
+			continue
+		}
+		fl := c.flavor(k.Type)
+		if fl == nil {
+			continue
+		}
+		k.free = c.free(n, fl.Size, nil)
+		k.busy = len(c.st.byMach[n])
+		l = append(l, *k)
+	}
+	sort.Slice(l, func(a, b int) bool { return l[a].Name < l[b].Name })
+	return l
+}
+
+// decideReturns returns drained machines; only after the cloud's 200 a machine
+// is marked gone, which proves its tasks off.
+func (c *Core) decideReturns() {
+	f := &c.fleet
+	if f.returning || c.now < f.backoff {
+		return
+	}
+	var names []string
+	for _, n := range slices.Sorted(maps.Keys(c.st.marks)) {
+		m := c.st.marks[n]
+		if m.State != MarkDrain || c.st.ledger < c.st.stamps[preMach+n] {
+			continue
+		}
+		if (m.Why == WhyIdle || m.Why == WhySick) && len(c.st.byMach[n]) > 0 {
+			continue
+		}
+		if len(names) < tuning.ReturnMost {
+			names = append(names, n)
+		}
+	}
+	if len(names) > 0 {
+		f.returning = true
+		c.emit(EfReturn{Names: names})
+	}
+}
+
+func (c *Core) onReturned(e EvReturned) {
+	f := &c.fleet
+	f.returning = false
+	if !e.OK {
+		f.backoff = c.now + 2*time.Second
+		return
+	}
+	names := e.Names
+	for len(names) > 0 {
+		k := min(len(names), c.cfg.TxnOps)
+		t := Txn{}
+		for _, n := range names[:k] {
+			t.When = append(t.When, Cond{preMach + n, c.st.stamps[preMach+n]})
+			t.Apply = append(t.Apply, Put{Key: preMach + n, Value: enc(MachineMark{State: MarkGone, Why: c.st.marks[n].Why})})
+		}
+		c.log(1, "machines returned", "names", names[:k])
+		c.fleet.returning = true
+		c.commit(LaneTask, t, func(CommitResult, EvCommit) { c.fleet.returning = false })
+		names = names[k:]
+	}
+}
+
+// decideMarks drains what is failed, stuck or idle for long.
+func (c *Core) decideMarks() {
+	f := &c.fleet
+	ms := c.machines()
+	pend := c.pending()
+	for _, k := range ms {
+		fl := c.flavor(k.Type)
+		age := c.now - f.bornAt[k.Name]
+		if k.mark.State != "" {
+			continue
+		}
+		if k.busy > 0 || !k.up {
+			delete(f.idle, k.Name)
+		} else if _, ok := f.idle[k.Name]; !ok {
+			f.idle[k.Name] = c.now
+		}
+		switch {
+		case k.Status == "failed":
+			c.mark(k.Name, MachineMark{MarkDrain, WhyFailed})
+		case k.Status == "booting" && !k.up && age > time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
+			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
+		case k.Status == "running" && !k.up && k.busy == 0 && age > 90*time.Second+time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
+			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
+		case k.up && k.busy == 0 && age > tuning.MinHeld:
+			keep := tuning.IdleKeep
+			if f.hold[k.Name] {
+				keep = tuning.IdleKeepWhole
+			}
+			if since, ok := f.idle[k.Name]; ok && c.now-since > keep && !c.wanted(k, pend) {
+				c.mark(k.Name, MachineMark{MarkDrain, WhyIdle})
+			}
+		}
+	}
+}
+
+func (c *Core) wanted(k known, pend []need) bool {
+	for _, p := range pend {
+		if p.n > 0 && c.fits(p.sp, k.Type, k.Zone, k.Spot) && k.free.Holds(p.sp.Need) {
+			return true
+		}
+	}
+	return false
+}
+
+// need is unbooked work of one job that its team's limit lets run.
+type need struct {
+	sp *Spec
+	n  int
+}
+
+func (c *Core) pending() []need {
+	used := map[string]Res{}
+	for n, t := range c.st.teams {
+		used[n] = t.Used
+	}
+	var l []need
+	for _, j := range c.st.open {
+		sp := j.H.Spec
+		if whole(sp) {
+			c.fleet.wholeSeen[sp.Class] = wholeSeen{sp, c.now}
+		}
+		if j.nQ == 0 || j.errs > 3 {
+			continue
+		}
+		lim := c.cfg.Teams[sp.Team].Max
+		n := 0
+		for n < j.nQ && n < 2000 && within(used[sp.Team].Plus(sp.Need, 1), lim) {
+			used[sp.Team] = used[sp.Team].Plus(sp.Need, 1)
+			n++
+		}
+		if sp.Shape == Gang && n < sp.N {
+			continue
+		}
+		if n > 0 {
+			l = append(l, need{sp, n})
+		}
+	}
+	return l
+}
+
+// decideHolds keeps idle machines for jobs that need a whole one.
+func (c *Core) decideHolds() {
+	f := &c.fleet
+	f.hold = map[string]bool{}
+	pend := c.pending()
+	ms := c.machines()
+	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
+		w := f.wholeSeen[class]
+		if c.now-w.at > 5*time.Minute {
+			delete(f.wholeSeen, class)
+			continue
+		}
+		n := c.spare(w.sp)
+		for _, p := range pend {
+			if p.sp.Class == class && whole(p.sp) {
+				n += p.n
+			}
+		}
+		var cand []known
+		for _, k := range ms {
+			fl := c.flavor(k.Type)
+			if k.up && k.mark.State == "" && c.fits(w.sp, k.Type, k.Zone, k.Spot) && fl.Size.Holds(w.sp.Need) &&
+				!f.hold[k.Name] && k.busy == 0 {
+				cand = append(cand, k)
+			}
+		}
+		for i := 0; i < len(cand) && i < n; i++ {
+			f.hold[cand[i].Name] = true
+		}
+	}
+}
+
+// spare is how many machines are kept ready for a class whose tasks should
+// start sooner than a machine boots.
+func (c *Core) spare(sp *Spec) int {
+	w, ok := c.cfg.Wait[sp.Class]
+	if !ok {
+		return 0
+	}
+	for i := range c.st.flavors {
+		if fl := &c.st.flavors[i]; c.typeFits(sp, fl) && w < fl.BootS+sp.ImageGB/max(fl.Fetch, 0.01) {
+			return c.cfg.Spare
+		}
+	}
+	return 0
+}
+
+// decideRents packs what is pending on what is there or boots, and rents for
+// the rest the kind with the least price per task that fits.
+func (c *Core) decideRents() {
+	f := &c.fleet
+	for _, h := range slices.Sorted(maps.Keys(f.renting)) {
+		r := f.renting[h]
+		if c.now-r.at > tuning.CloudTimeout+time.Second {
+			r.at = c.now
+			f.renting[h] = r
+			c.emit(r.e) // the same name: a repeat rents nothing more
+		}
+	}
+	if len(f.renting) > 0 {
+		return
+	}
+	type slot struct {
+		k    known
+		free Res
+	}
+	var slots []slot
+	for _, k := range c.machines() {
+		if k.mark.State != "" || k.Status == "failed" || !k.up && k.Status == "running" && k.busy > 0 {
+			continue
+		}
+		slots = append(slots, slot{k, k.free})
+	}
+	type plan struct {
+		o    option
+		free Res
+	}
+	var plans []plan
+	pend := c.pending()
+	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
+		if n := c.spare(f.wholeSeen[class].sp); n > 0 {
+			pend = append(pend, need{f.wholeSeen[class].sp, n})
+		}
+	}
+	// Whole machines first: small tasks find room in what is left.
+	sort.SliceStable(pend, func(a, b int) bool { return whole(pend[a].sp) && !whole(pend[b].sp) })
+	for _, p := range pend {
+	tasks:
+		for i := 0; i < p.n; i++ {
+			for s := range slots {
+				if slots[s].free.Holds(p.sp.Need) && c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) &&
+					(whole(p.sp) || !f.hold[slots[s].k.Name]) {
+					slots[s].free = slots[s].free.Plus(p.sp.Need, -1)
+					continue tasks
+				}
+			}
+			for s := range plans {
+				if plans[s].free.Holds(p.sp.Need) && c.fits(p.sp, plans[s].o.typ, plans[s].o.zone, plans[s].o.spot) {
+					plans[s].free = plans[s].free.Plus(p.sp.Need, -1)
+					continue tasks
+				}
+			}
+			o, ok := c.cheapest(p.sp, p.n-i)
+			if !ok {
+				break
+			}
+			plans = append(plans, plan{o, c.flavor(o.typ).Size.Plus(p.sp.Need, -1)})
+			if len(plans) >= 200 {
+				break
+			}
+		}
+	}
+	count := map[option]int{}
+	var order []option
+	for _, p := range plans {
+		if count[p.o] == 0 {
+			order = append(order, p.o)
+		}
+		count[p.o]++
+	}
+	for _, o := range order {
+		f.hireN++
+		e := EfRent{Hire: fmt.Sprintf("%s-%s-%d", c.cfg.Node, c.inc, f.hireN), Type: o.typ, Zone: o.zone, Spot: o.spot,
+			Count: min(count[o], tuning.RentMost)}
+		f.renting[e.Hire] = rent{e, c.now}
+		c.log(1, "renting", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", e.Count)
+		c.emit(e)
+	}
+}
+
+// cheapest is the kind with the least price per task of which n are left.
+func (c *Core) cheapest(sp *Spec, n int) (option, bool) {
+	best, bestP, found := option{}, math.Inf(1), false
+	for i := range c.st.flavors {
+		fl := &c.st.flavors[i]
+		if !c.typeFits(sp, fl) {
+			continue
+		}
+		k := float64(fl.Size.Times(sp.Need, int64(max(n, 1))))
+		if k < 1 {
+			continue
+		}
+		for _, z := range fl.Zones {
+			for _, spot := range [2]bool{true, false} {
+				o := option{fl.Name, z, spot}
+				if spot && !sp.Spot || sp.Zone != "" && z != sp.Zone || c.now < c.fleet.pauses[o].till {
+					continue
+				}
+				p := fl.Price / k
+				if spot {
+					p = fl.Spot / k
+				}
+				// Among equals, spread over zones.
+				p *= 1 + 0.001*float64(hash64(z, sp.ID)%16)
+				if p < bestP {
+					best, bestP, found = o, p, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func (c *Core) onRented(e EvRented) {
+	f := &c.fleet
+	r, ok := f.renting[e.Hire]
+	if !ok {
+		return // an earlier leadership's; the list will show what came of it
+	}
+	if !e.OK && !e.None {
+		// Unknown or refused for now: the same name again, later.
+		r.at = c.now - tuning.CloudTimeout + 500*time.Millisecond
+		f.renting[e.Hire] = r
+		return
+	}
+	delete(f.renting, e.Hire)
+	o := option{r.e.Type, r.e.Zone, r.e.Spot}
+	p := f.pauses[o]
+	if len(e.Names) < r.e.Count {
+		d := min(tuning.NoCapacityPause<<min(p.n, 8), tuning.NoCapacityMost)
+		f.pauses[o] = pause{c.now + d, p.n + 1}
+	} else {
+		delete(f.pauses, o)
+	}
+	for _, n := range e.Names {
+		f.born[n] = Inst{Name: n, Type: o.typ, Zone: o.zone, Spot: o.spot, Status: "booting"}
+		f.bornAt[n] = c.now
+	}
+	c.log(1, "rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", r.e.Count, "got", len(e.Names))
+}
--- /dev/null
+++ b/internal/core/gang.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"sort"
+
+	"brassglade/internal/tuning"
+)
+
+// planGangs books the jobs that the leader places whole: gangs at once or not
+// at all, the others task by task within their zone rules.
+func (c *Core) planGangs(d *draft) {
+	if !c.isLeader() {
+		return
+	}
+	var js []*Job
+	for _, j := range c.st.open {
+		if whole(j.H.Spec) && j.nQ > 0 && int64(c.now) >= j.hold {
+			js = append(js, j)
+		}
+	}
+	if len(js) == 0 {
+		return
+	}
+	sort.SliceStable(js, func(a, b int) bool {
+		x, y := js[a].H.Spec, js[b].H.Spec
+		if ox, oy := c.owed(x, d), c.owed(y, d); ox != oy {
+			return ox
+		}
+		return x.Prio > y.Prio
+	})
+	ms := c.inventory()
+	for _, j := range js {
+		if !c.bookWhole(d, j, ms) {
+			return
+		}
+	}
+}
+
+// pick is a task put on a machine.
+type pick struct {
+	i int
+	m inv
+}
+
+// bookWhole adds a job's bookings to the draft; false: the draft is full.
+func (c *Core) bookWhole(d *draft, j *Job, ms []inv) bool {
+	sp := j.H.Spec
+	if sp.Shape == Gang && j.nQ < sp.N {
+		return true // some of the old attempt are not proven off yet
+	}
+	zones := map[string]int{}
+	for i := range j.Tasks {
+		if j.Tasks[i].State == Booked {
+			zones[j.Tasks[i].Zone]++
+		}
+	}
+	most := (sp.N + 1) / 2
+	try := func(only string) []pick {
+		var ps []pick
+		use := map[string]Res{}
+		cnt := map[string]int{}
+		for z, n := range zones {
+			cnt[z] = n
+		}
+		team := d.teamUsed(sp.Team)
+		lim := c.cfg.Teams[sp.Team].Max
+		ok := func(m inv) bool {
+			if sp.OneZone && only != "" && m.zone != only || sp.Spread && cnt[m.zone] >= most {
+				return false
+			}
+			f := c.flavor(m.typ)
+			return f != nil && c.fits(sp, m.typ, m.zone, m.spot) &&
+				c.free(m.name, f.Size, d).Plus(use[m.name], -1).Holds(sp.Need)
+		}
+		cand := append([]inv(nil), ms...)
+		sort.SliceStable(cand, func(a, b int) bool {
+			x, y := cand[a], cand[b]
+			if i, k := x.images[sp.Image], y.images[sp.Image]; i != k {
+				return i
+			}
+			if h, k := c.fleet.hold[x.name], c.fleet.hold[y.name]; h != k {
+				return h
+			}
+			if x.spot != y.spot {
+				return x.spot
+			}
+			return len(c.st.byMach[x.name]) > len(c.st.byMach[y.name])
+		})
+		for i := 0; i < sp.N; i++ {
+			if j.task(i).State != Queued || d.changed[TaskID{j.ID, i}] {
+				continue
+			}
+			if len(ps) >= 64 && sp.Shape != Gang {
+				break
+			}
+			if team = team.Plus(sp.Need, 1); !within(team, lim) {
+				break
+			}
+			found := false
+			for _, m := range cand {
+				if ok(m) {
+					ps = append(ps, pick{i, m})
+					use[m.name] = use[m.name].Plus(sp.Need, 1)
+					cnt[m.zone]++
+					found = true
+					break
+				}
+			}
+			if !found {
+				break
+			}
+		}
+		return ps
+	}
+	var ps []pick
+	if sp.OneZone {
+		zs := append([]string(nil), c.cfg.Zones...)
+		for z := range zones {
+			zs = []string{z} // tasks not proven off pin the zone
+		}
+		for _, z := range zs {
+			if p := try(z); len(p) > len(ps) {
+				ps = p
+			}
+		}
+	} else {
+		ps = try("")
+	}
+	if len(ps) == 0 || sp.Shape == Gang && len(ps) < sp.N {
+		return true
+	}
+	attempt := uint64(0)
+	if sp.Shape == Gang {
+		for i := range j.Tasks {
+			attempt = max(attempt, j.Tasks[i].Attempt)
+		}
+		// All of a gang goes in one commit, or it waits for an emptier one.
+		chunks := (sp.N + j.H.Chunk - 1) / j.H.Chunk
+		if d.ops()+chunks+1 > c.cfg.TxnOps || d.bytes+sp.N*tuning.TaskBytes > tuning.TxnBytes {
+			c.dirty = true
+			return false
+		}
+	}
+	for _, p := range ps {
+		if !d.room(j, p.i, false) && sp.Shape != Gang {
+			c.dirty = true
+			return false
+		}
+		a := attempt
+		if sp.Shape != Gang {
+			a = j.task(p.i).Attempt
+		}
+		d.book(j, p.i, p.m.name, p.m.zone, p.m.shift, a+1)
+		id, name := TaskID{j.ID, p.i}, p.m.name
+		d.notes = append(d.notes, func() { c.log(2, "task booked whole", "task", id, "machine", name, "attempt", a+1) })
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/job.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// waiter is a user request that needs a read index.
+type waiter struct {
+	req    uint64
+	id     string
+	at     time.Duration
+	submit *EvSubmit // answered as a repeat, or refused with 422
+	why    string
+	abort  bool
+}
+
+// ready tells whether this node can take requests.
+func (c *Core) ready() bool { return c.fenceOK() && len(c.st.flavors) > 0 }
+
+// Ready is what GET /up answers.
+func (c *Core) Ready() bool { return c.ready() }
+
+func (c *Core) later(req uint64, why string) {
+	c.emit(EfUser{Req: req, Status: 503, Reason: why})
+}
+
+// say answers with the job's state as the cache has it.
+func (c *Core) say(req uint64, status int, j *Job) {
+	u := EfUser{Req: req, Status: status, ID: j.ID, Done: j.nD, Running: j.nB, State: "pending"}
+	switch {
+	case j.H.State == JobDone:
+		u.State, u.Done, u.Running = "done", j.H.N, 0
+	case j.H.State == JobCancelled:
+		u.State, u.Running = "cancelled", 0
+	case j.nB > 0:
+		u.State = "running"
+	}
+	c.emit(u)
+}
+
+func (c *Core) wait(w waiter) {
+	if !c.synced || !c.stateOK {
+		c.later(w.req, "state service unreachable")
+		return
+	}
+	w.at = c.now
+	c.waiters = append(c.waiters, w)
+}
+
+func (c *Core) onPoll(req uint64, id string, _ bool) {
+	if j := c.st.jobs[id]; j != nil && j.final() {
+		c.say(req, 200, j)
+		return
+	}
+	c.wait(waiter{req: req, id: id})
+}
+
+// wakeWaiters answers those whose read index the cache has reached.
+func (c *Core) wakeWaiters() {
+	if len(c.waiters) == 0 {
+		return
+	}
+	ws := c.waiters
+	c.waiters = nil
+	for _, w := range ws {
+		if w.at > c.readAt {
+			c.waiters = append(c.waiters, w)
+			continue
+		}
+		j := c.st.jobs[w.id]
+		switch {
+		case w.abort:
+			c.abort(w.req, w.id)
+		case j != nil:
+			c.say(w.req, 200, j)
+		case w.submit == nil:
+			c.emit(EfUser{Req: w.req, Status: 404, ID: w.id})
+		case w.submit.Spec == nil:
+			c.emit(EfUser{Req: w.req, Status: 400, ID: w.id, Reason: w.why})
+		default:
+			c.emit(EfUser{Req: w.req, Status: 422, ID: w.id, Reason: w.why})
+		}
+	}
+}
+
+func (c *Core) failWaiters() {
+	for _, w := range c.waiters {
+		c.later(w.req, "state service unreachable")
+	}
+	c.waiters = nil
+}
+
+func (c *Core) driveWaiters() {
+	keep := c.waiters[:0]
+	for _, w := range c.waiters {
+		if c.now-w.at > tuning.PollPatience {
+			c.later(w.req, "state service slow")
+			continue
+		}
+		keep = append(keep, w)
+	}
+	c.waiters = keep
+}
+
+// never tells why a job can never run, or "".
+func (c *Core) never(s *Spec) string {
+	lim, ok := c.cfg.Teams[s.Team]
+	if !ok {
+		return "unknown team"
+	}
+	k := int64(s.N)
+	if s.Shape == Array {
+		k = 1
+	}
+	if !within(Res{}.Plus(s.Need, k), lim.Max) {
+		return "over the team's limit"
+	}
+	for i := range c.st.flavors {
+		if c.typeFits(s, &c.st.flavors[i]) {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+// within tells whether use stays in a limit, where 0 means none.
+func within(use, lim Res) bool {
+	return (lim.CPU == 0 || use.CPU <= lim.CPU) && (lim.GPU == 0 || use.GPU <= lim.GPU) &&
+		(lim.Mem == 0 || use.Mem <= lim.Mem)
+}
+
+func (c *Core) typeFits(s *Spec, f *Flavor) bool {
+	if !f.Size.Holds(s.Need) || s.ImageGB > f.Cache && f.Cache > 0 {
+		return false
+	}
+	if !allowed(s.Types, f.Name) {
+		return false
+	}
+	if s.Zone == "" {
+		return true
+	}
+	for _, z := range f.Zones {
+		if z == s.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+func allowed(list []string, name string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, l := range list {
+		if l == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onSubmit(e EvSubmit) {
+	if j := c.st.jobs[e.ID]; j != nil && e.ID != "" {
+		c.onPoll(e.Req, e.ID, true)
+		return
+	}
+	if e.Spec == nil {
+		if e.ID == "" {
+			c.emit(EfUser{Req: e.Req, Status: 400, Reason: "malformed"})
+			return
+		}
+		c.wait(waiter{req: e.Req, id: e.ID, submit: &e, why: "malformed"})
+		return
+	}
+	if !c.ready() {
+		c.later(e.Req, "not ready")
+		return
+	}
+	if why := c.never(e.Spec); why != "" {
+		c.wait(waiter{req: e.Req, id: e.ID, submit: &e, why: why})
+		return
+	}
+	if c.subs[e.ID] {
+		c.later(e.Req, "being accepted")
+		return
+	}
+	c.subs[e.ID] = true
+	h := &Header{
+		State: JobOpen, Spec: e.Spec, N: e.Spec.N, Part: c.roomiest(e.Spec),
+		Order: c.st.ledger + 1, Chunk: max(1, (c.cfg.ValueB-64)/tuning.TaskBytes),
+	}
+	t := Txn{When: []Cond{{keyJob(e.ID), 0}}, Apply: []Put{{Key: keyJob(e.ID), Value: enc(h)}}}
+	c.commit(LaneUser, t, func(r CommitResult, _ EvCommit) {
+		delete(c.subs, e.ID)
+		switch r {
+		case Committed:
+			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part)
+			if j := c.st.jobs[e.ID]; j != nil {
+				c.say(e.Req, 201, j)
+			}
+		case Conflict: // somebody else took it: a repeat
+			c.wait(waiter{req: e.Req, id: e.ID})
+		default:
+			c.later(e.Req, "state service")
+		}
+	})
+}
+
+func (c *Core) onAbort(e EvAbort) {
+	if j := c.st.jobs[e.ID]; j != nil && j.final() {
+		c.say(e.Req, 200, j)
+		return
+	}
+	if c.st.jobs[e.ID] == nil {
+		c.wait(waiter{req: e.Req, id: e.ID, abort: true})
+		return
+	}
+	c.abort(e.Req, e.ID)
+}
+
+func (c *Core) abort(req uint64, id string) {
+	j := c.st.jobs[id]
+	if j == nil {
+		c.emit(EfUser{Req: req, Status: 404, ID: id})
+		return
+	}
+	if j.final() {
+		c.say(req, 200, j)
+		return
+	}
+	h := *j.H
+	h.State = JobCancelled
+	key := keyJob(id)
+	c.commit(LaneUser, Txn{
+		When:  []Cond{{key, c.st.stamps[key]}},
+		Apply: []Put{{Key: key, Value: enc(&h)}},
+	}, func(r CommitResult, _ EvCommit) {
+		switch r {
+		case Committed:
+			c.log(2, "job cancelled", "job", id)
+			c.say(req, 200, j)
+		case Conflict:
+			c.wait(waiter{req: req, id: id, abort: true})
+		default:
+			c.later(req, "state service")
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/learn.go
@@ -0,0 +1,284 @@
+package core
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// WindowRec is the value of window/NODE: what one node tells all at the end of
+// each window.
+type WindowRec struct {
+	Seq    uint64             `json:"q"`
+	Loads  map[string]float64 `json:"x"`
+	Passes int                `json:"p"`
+	Theta  []float64          `json:"t"`
+}
+
+// policy is a linear softmax policy over targets that come and go: a weight
+// for each pair of names and a bias for each name, with the starting values
+// for names not met yet.
+type policy struct {
+	sign float64 // of the starting weight on a target's own load
+	w    map[string]map[string]float64
+	b    map[string]float64
+	gw   map[string]map[string]float64 // gradients of this window
+	gb   map[string]float64
+	n    int
+}
+
+func newPolicy(sign float64) policy {
+	return policy{
+		sign: sign, w: map[string]map[string]float64{}, b: map[string]float64{},
+		gw: map[string]map[string]float64{}, gb: map[string]float64{},
+	}
+}
+
+func (p *policy) weight(i, j string) float64 {
+	if r, ok := p.w[i]; ok {
+		if v, ok := r[j]; ok {
+			return v
+		}
+	}
+	if i == j {
+		return p.sign * tuning.LoadWeight
+	}
+	return 0
+}
+
+// probs is softmax(W x + B - cost) over the choices left by the mask.
+func (p *policy) probs(cs []choice) []float64 {
+	z := make([]float64, len(cs))
+	top := math.Inf(-1)
+	for i := range cs {
+		z[i] = p.b[cs[i].name] - cs[i].cost
+		for j := range cs {
+			z[i] += p.weight(cs[i].name, cs[j].name) * cs[j].load
+		}
+		top = max(top, z[i])
+	}
+	sum := 0.0
+	for i := range z {
+		z[i] = math.Exp(z[i] - top)
+		sum += z[i]
+	}
+	for i := range z {
+		z[i] /= sum
+	}
+	return z
+}
+
+// gather adds the gradient of log pi for a draw made.
+func (p *policy) gather(cs []choice, pr []float64, k int) {
+	if len(cs) < 2 {
+		return
+	}
+	p.n++
+	for i := range cs {
+		g := -pr[i]
+		if i == k {
+			g++
+		}
+		p.gb[cs[i].name] += g
+		r := p.gw[cs[i].name]
+		if r == nil {
+			r = map[string]float64{}
+			p.gw[cs[i].name] = r
+		}
+		for j := range cs {
+			r[cs[j].name] += g * cs[j].load * tuning.LoadScale
+		}
+	}
+}
+
+// step moves the weights along the gathered gradients; runaway or non-finite
+// values go back to their start. It returns how many did.
+func (p *policy) step(delta float64, alive map[string]bool) (reset int) {
+	ok := func(v float64) bool { return !math.IsNaN(v) && math.Abs(v) <= tuning.WeightBound }
+	if p.n > 0 && ok(delta/1e6) {
+		k := tuning.ActorRate * delta / float64(p.n)
+		for _, i := range slices.Sorted(maps.Keys(p.gw)) {
+			if v := p.b[i] + k*p.gb[i]; ok(v) {
+				p.b[i] = v
+			} else {
+				delete(p.b, i)
+				reset++
+			}
+			if p.w[i] == nil {
+				p.w[i] = map[string]float64{}
+			}
+			for j, g := range p.gw[i] {
+				if v := p.weight(i, j) + k*g; ok(v) {
+					p.w[i][j] = v
+				} else {
+					delete(p.w[i], j)
+					reset++
+				}
+			}
+		}
+	}
+	clear(p.gw)
+	clear(p.gb)
+	p.n = 0
+	if alive != nil {
+		for i := range p.w {
+			if !alive[i] {
+				delete(p.w, i)
+				delete(p.b, i)
+				continue
+			}
+			for j := range p.w[i] {
+				if !alive[j] {
+					delete(p.w[i], j)
+				}
+			}
+		}
+	}
+	return reset
+}
+
+// learner is the online actor-critic of one node.
+type learner struct {
+	arrive, steal policy
+	theta         []float64
+	at            time.Duration
+	seq           uint64
+	passes        int
+	finishes      int
+	last          []float64 // features at the window's start
+}
+
+func (l *learner) init(string) {
+	l.arrive = newPolicy(1)
+	l.steal = newPolicy(-1) // steals look for the most loaded
+	l.theta = make([]float64, 4)
+}
+
+// features of the loads for the linear critic: a constant, the mean, the
+// imbalance, the largest. They need no names, so they carry over.
+func features(x []float64) ([]float64, float64) {
+	if len(x) == 0 {
+		return []float64{1, 0, 0, 0}, 0
+	}
+	mean, most := 0.0, 0.0
+	for _, v := range x {
+		mean += v
+		most = max(most, v)
+	}
+	mean /= float64(len(x))
+	imb := imbalance(x)
+	s := tuning.LoadScale
+	return []float64{1, mean * s, imb * s, most * s}, imb
+}
+
+// imbalance is 1/(N-1) times the summed |x_j - x_k| over all ordered pairs.
+func imbalance(x []float64) float64 {
+	if len(x) < 2 {
+		return 0
+	}
+	s := 0.0
+	for _, a := range x {
+		for _, b := range x {
+			s += math.Abs(a - b)
+		}
+	}
+	return s / float64(len(x)-1)
+}
+
+func dot(a, b []float64) float64 {
+	s := 0.0
+	for i := range a {
+		s += a[i] * b[i]
+	}
+	return s
+}
+
+// driveLearn ends windows: writes the record, takes the temporal-difference
+// step, and averages the critics every ConsensusEvery windows.
+func (c *Core) driveLearn() {
+	l := &c.learn
+	if !c.fenceOK() || c.now < l.at+tuning.Window {
+		return
+	}
+	l.at = c.now
+	l.seq++
+	loads := map[string]float64{}
+	for name, m := range c.mach {
+		if c.owns(name) && c.bookable(m) && !c.kept(name) {
+			loads[name] = math.Round(c.load(m)*10) / 10
+		}
+	}
+	alive := map[string]bool{}
+	var x []float64
+	passes := l.passes
+	for _, n := range c.st.view.Serving {
+		alive[n] = true
+		ls := loads
+		if n != c.cfg.Node {
+			w := c.st.windows[n]
+			if w == nil {
+				continue
+			}
+			ls = w.Loads
+			passes += w.Passes
+		}
+		for _, k := range slices.Sorted(maps.Keys(ls)) {
+			x = append(x, ls[k])
+			alive[k] = true
+		}
+	}
+	f, imb := features(x)
+	if l.last != nil && c.cfg.Learn {
+		phi := (-imb - tuning.PassCost*float64(passes)) * tuning.LoadScale
+		delta := phi + tuning.Gamma*dot(l.theta, f) - dot(l.theta, l.last)
+		for i := range l.theta {
+			l.theta[i] += tuning.CriticRate * delta * l.last[i]
+			if math.IsNaN(l.theta[i]) || math.Abs(l.theta[i]) > tuning.WeightBound {
+				l.theta[i] = 0
+				c.log(1, "critic weight reset", "i", i)
+			}
+		}
+		r := l.arrive.step(delta, alive) + l.steal.step(delta, alive)
+		if r > 0 {
+			c.log(1, "policy weights reset", "count", r)
+		}
+		c.log(2, "window", "imbalance", imb, "passes", passes, "delta", delta, "finishes", l.finishes, "theta", l.theta)
+		if l.seq%tuning.ConsensusEvery == 0 {
+			c.consensus()
+		}
+	}
+	l.last = f
+	rec := WindowRec{Seq: l.seq, Loads: loads, Passes: l.passes, Theta: l.theta}
+	l.passes, l.finishes = 0, 0
+	b := enc(rec)
+	if len(b) > c.cfg.ValueB {
+		rec.Loads = nil
+		b = enc(rec)
+	}
+	c.commit(LaneIdle, Txn{Apply: []Put{{Key: preWindow + c.cfg.Node, Value: b}}}, func(CommitResult, EvCommit) {})
+}
+
+// consensus averages the critics over the serving nodes.
+func (c *Core) consensus() {
+	sum := slices.Clone(c.learn.theta)
+	n := 1.0
+	for _, o := range c.st.view.Serving {
+		w := c.st.windows[o]
+		if o == c.cfg.Node || w == nil || len(w.Theta) != len(sum) {
+			continue
+		}
+		for i := range sum {
+			sum[i] += w.Theta[i]
+		}
+		n++
+	}
+	for i := range sum {
+		sum[i] /= n
+	}
+	c.learn.theta = sum
+}
+
+func (c *Core) learnFinish(*Machine) { c.learn.finishes++ }
--- /dev/null
+++ b/internal/core/machine.go
@@ -0,0 +1,452 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// Machine is what this node knows of a machine. Only the owner acts on it.
+type Machine struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+
+	heardOnce bool
+	shift     uint64 // of the newest report
+	tally     uint64
+	baton     uint64
+	tasks     map[TaskID]Seen
+	heard     time.Duration // when last heard (or the end of a grace period)
+	recallAt  time.Duration // when the cloud takes it; < 0: no notice
+	deadShift uint64        // sessions up to it are given up: never answered again
+	fresh     bool          // the newest report came by check-in
+
+	ownEpoch uint64        // epoch at which this incarnation became owner
+	ownSince time.Duration // when it saw that
+	last200  time.Duration // when it last answered with 200; < 0: not yet
+
+	// sent: check-in whose answer last carried the run of a booking
+	sent map[doom]uint64
+
+	queue    []TaskID
+	errs     int
+	errJobs  map[string]bool
+	fullTill time.Duration
+	haltAt   time.Duration
+	rate     runStat
+	images   map[string]time.Duration
+	idleAt   time.Duration
+	firstRun map[doom]time.Duration
+}
+
+type heldCheckin struct {
+	machine string
+	req     uint64
+	tally   uint64
+	shift   uint64
+	till    time.Duration
+}
+
+func newMachine(name string) *Machine {
+	return &Machine{
+		Name: name, tasks: map[TaskID]Seen{}, recallAt: -1, last200: -1,
+		sent: map[doom]uint64{}, errJobs: map[string]bool{}, images: map[string]time.Duration{},
+		firstRun: map[doom]time.Duration{},
+	}
+}
+
+// newer tells whether (shift, tally) is newer than what m last said.
+func (m *Machine) newer(shift, tally uint64) bool {
+	return !m.heardOnce || shift > m.shift || shift == m.shift && tally > m.tally
+}
+
+// onCheckin answers a worker's report. 200 is said only by the entitled owner
+// behind its fence; everyone else names the owner or says 503.
+func (c *Core) onCheckin(e EvCheckin) {
+	r := e.R
+	if !c.fenceOK() {
+		c.emit(EfCheckin{Req: e.Req, Status: 503})
+		return
+	}
+	if r.Baton > c.st.view.Epoch {
+		// The worker has seen a later view than this node.
+		c.confirmAt = min(c.confirmAt, c.now)
+		c.emit(EfCheckin{Req: e.Req, Status: 503})
+		return
+	}
+	owner := c.st.view.owner(r.Machine)
+	if owner != c.cfg.Node {
+		c.noteBounce(r.Machine, owner)
+		c.emit(EfCheckin{Req: e.Req, Status: 421, Owner: owner})
+		return
+	}
+	m := c.mach[r.Machine]
+	if m == nil {
+		m = newMachine(r.Machine)
+		m.ownEpoch, m.ownSince = c.st.view.Epoch, c.now
+		c.mach[r.Machine] = m
+	}
+	// A session given up, or a machine that the cloud took back, must not be
+	// kept alive by an answer: its tasks may already run elsewhere.
+	if r.Shift <= m.deadShift || c.st.marks[r.Machine].State == MarkGone {
+		c.emit(EfCheckin{Req: e.Req, Status: 503})
+		return
+	}
+	if !m.newer(r.Shift, r.Tally) {
+		// A late copy: the worker has given it up, and its list is old.
+		c.emit(EfCheckin{Req: e.Req, Status: 503})
+		return
+	}
+	c.takeReport(m, &r, true)
+	for id, h := range c.held {
+		if h.machine == m.Name { // given up by the worker
+			delete(c.held, id)
+			c.emit(EfCheckin{Req: h.req, Status: 503})
+		}
+	}
+	c.dirty = true
+	c.drivePlace()
+	c.drivePlan()
+	h := &heldCheckin{m.Name, e.Req, r.Tally, r.Shift, c.now + tuning.CheckinHold}
+	if c.task != nil && c.touches(m) {
+		c.held[e.Req] = h
+		return
+	}
+	c.answer(h)
+}
+
+// touches tells whether the task commit in flight concerns m, so that its end
+// would change the orders.
+func (c *Core) touches(m *Machine) bool {
+	return c.planMach[m.Name] || len(m.queue) > 0 || c.unsettled(m)
+}
+
+// unsettled: m reports ended tasks whose outcome is not committed yet.
+func (c *Core) unsettled(m *Machine) bool {
+	for _, s := range m.tasks {
+		if s.State == SeenEnded && c.booking(m, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// booking tells whether s is the committed booking of its task.
+func (c *Core) booking(m *Machine, s Seen) bool {
+	j := c.st.jobs[s.Task.Job]
+	if j == nil || s.Task.I < 0 || s.Task.I >= j.H.N {
+		return false
+	}
+	t := j.task(s.Task.I)
+	return t.State == Booked && t.Machine == m.Name && t.Attempt == s.Attempt && t.Shift == m.shift
+}
+
+// takeReport takes a report that is newer than what m said before.
+func (c *Core) takeReport(m *Machine, r *Report, checkin bool) {
+	if m.Addr == "" || m.Type == "" {
+		c.log(2, "machine", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
+	}
+	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+	if m.heardOnce && r.Shift > m.shift {
+		c.log(1, "machine lost its lease", "machine", m.Name, "shift", r.Shift)
+		clear(m.images)
+	}
+	m.heardOnce, m.shift, m.tally, m.baton, m.heard, m.fresh = true, r.Shift, r.Tally, r.Baton, c.now, checkin
+	if r.Recall >= 0 {
+		if m.recallAt < 0 {
+			c.log(1, "machine recalled", "machine", m.Name, "in_s", r.Recall)
+			c.unplaceMachine(m.Name)
+		}
+		m.recallAt = c.now + time.Duration(r.Recall*float64(time.Second))
+	} else if m.recallAt >= 0 {
+		m.recallAt = -1
+	}
+	clear(m.tasks)
+	for _, s := range r.Tasks {
+		m.tasks[s.Task] = s
+		j := c.st.jobs[s.Task.Job]
+		if j == nil || j.H.Spec == nil {
+			continue
+		}
+		k := doom{s.Task, s.Attempt}
+		if s.State == SeenRunning {
+			m.images[j.H.Spec.Image] = c.now
+			if _, ok := m.firstRun[k]; !ok {
+				m.firstRun[k] = c.now
+			}
+		}
+	}
+	for k := range m.firstRun {
+		if s, ok := m.tasks[k.T]; !ok || s.Attempt != k.A {
+			delete(m.firstRun, k)
+		}
+	}
+	if len(r.Tasks) > 0 {
+		m.idleAt = c.now
+	}
+}
+
+// onDirect takes a worker's direct answer; it obeys (Shift, Tally) like any
+// report, but never proves a run undelivered: an answer to a check-in may
+// still be under way.
+func (c *Core) onDirect(e EvDirect) {
+	m := c.mach[e.Machine]
+	if e.R == nil || m == nil || !c.owns(e.Machine) || !m.newer(e.R.Shift, e.R.Tally) || e.R.Shift <= m.deadShift {
+		return
+	}
+	heard := m.heard
+	c.takeReport(m, e.R, false)
+	m.heard = max(heard, c.now)
+	c.dirty = true
+}
+
+// answer says 200 with the orders that follow from committed state alone.
+func (c *Core) answer(h *heldCheckin) {
+	delete(c.held, h.req)
+	m := c.mach[h.machine]
+	if m == nil || !c.fenceOK() || !c.owns(h.machine) || h.shift <= m.deadShift || h.shift != m.shift ||
+		c.st.marks[h.machine].State == MarkGone {
+		c.emit(EfCheckin{Req: h.req, Status: 503})
+		return
+	}
+	orders := c.orders(m, h.tally)
+	m.last200 = c.now
+	c.emit(EfCheckin{Req: h.req, Status: 200, Baton: c.st.view.Epoch, Orders: orders})
+}
+
+// orders for m: halts first, then clears, then runs. A run goes out only for
+// a committed booking of this session whose release was never attempted.
+func (c *Core) orders(m *Machine, tally uint64) []Order {
+	var halts, clears, runs []Order
+	for _, id := range sortedTasks(m.tasks) {
+		s := m.tasks[id]
+		if s.State == SeenEnded {
+			if !c.booking(m, s) {
+				clears = append(clears, Order{Verb: Clear, Task: id, Attempt: s.Attempt})
+			}
+			continue
+		}
+		if o, ok := c.halt(m, s); ok {
+			halts = append(halts, o)
+		}
+	}
+	for _, id := range sortedTasks(c.st.byMach[m.Name]) {
+		j := c.st.jobs[id.Job]
+		t := j.task(id.I)
+		k := doom{id, t.Attempt}
+		if s, ok := m.tasks[id]; ok && s.Attempt == t.Attempt {
+			continue
+		}
+		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] || m.recallAt >= 0 || !c.gangWhole(j, t) {
+			continue
+		}
+		m.sent[k] = tally
+		runs = append(runs, Order{Verb: Run, Task: id, Attempt: t.Attempt})
+	}
+	return slices.Concat(halts, clears, runs)
+}
+
+// halt tells whether a live task on m has to be stopped, and how.
+func (c *Core) halt(m *Machine, s Seen) (Order, bool) {
+	o := Order{Verb: Halt, Task: s.Task, Attempt: s.Attempt}
+	j := c.st.jobs[s.Task.Job]
+	if j == nil || j.final() || !c.booking(m, s) {
+		return o, true // nobody has any use for it
+	}
+	t := j.task(s.Task.I)
+	sp := j.H.Spec
+	if !c.gangWhole(j, t) {
+		return o, s.State != SeenSaving
+	}
+	mark := c.st.marks[m.Name]
+	switch {
+	case m.recallAt >= 0:
+		left := (m.recallAt - c.now - tuning.RecallMargin).Seconds()
+		if s.State == SeenSaving {
+			return o, false
+		}
+		// Let a task without checkpoints run on: it may still finish.
+		if sp.Ckpt <= 0 || sp.Save <= 0 {
+			return o, false
+		}
+		// Run on for as long as saving still fits before the recall, whose
+		// length may be half of what was said.
+		o.Leeway = max(left, sp.Save)
+		return o, left/2 <= sp.Save+4
+	case mark.State == MarkDrain && mark.Why != WhyIdle && s.State != SeenSaving:
+		o.Leeway = sp.Save + 2
+		return o, true
+	}
+	return o, false
+}
+
+// gangWhole: a gang's task is on only while all tasks of its attempt are
+// booked; otherwise the rest is stopped, and a new attempt starts all.
+func (c *Core) gangWhole(j *Job, t Task) bool {
+	if j.H.Spec.Shape != Gang || j.H.Spec.N == 1 {
+		return true
+	}
+	for i := range j.Tasks {
+		if o := j.Tasks[i]; o.State == Queued || o.State == Booked && o.Attempt != t.Attempt {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedTasks[V any](m map[TaskID]V) []TaskID {
+	ids := slices.Collect(maps.Keys(m))
+	sort.Slice(ids, func(a, b int) bool {
+		if ids[a].Job != ids[b].Job {
+			return ids[a].Job < ids[b].Job
+		}
+		return ids[a].I < ids[b].I
+	})
+	return ids
+}
+
+// offProof tells whether the booking of task id is proven off its machine,
+// as this node can know it: see docs/design.md, invariant 5.
+func (c *Core) offProof(m *Machine, id TaskID, t Task) bool {
+	if c.st.marks[m.Name].State == MarkGone {
+		return true
+	}
+	if m.heardOnce && m.shift > t.Shift || m.deadShift >= t.Shift {
+		return true
+	}
+	if m.heardOnce && m.shift == t.Shift {
+		if s, ok := m.tasks[id]; ok {
+			if s.Attempt == t.Attempt {
+				return s.State == SeenEnded
+			}
+		} else if m.fresh && m.baton >= m.ownEpoch && m.tally > m.sent[doom{id, t.Attempt}] {
+			return true // never arrived, and no answer with it is under way
+		}
+	}
+	return false
+}
+
+// leaseOver tells whether no one can have renewed m's lease since too long.
+func (c *Core) leaseOver(m *Machine) bool {
+	from := max(m.ownSince+tuning.Fence, m.last200)
+	lease := c.cfg.Lease + c.cfg.Lease/1000
+	return c.now > from+lease+tuning.DriftMargin
+}
+
+// driveMachines answers held check-ins, gives up dead sessions, marks silent
+// machines and sends direct halts where time matters.
+func (c *Core) driveMachines() {
+	for _, h := range sortedHeld(c.held) {
+		m := c.mach[h.machine]
+		if c.task == nil || c.now >= h.till || !c.touches(m) {
+			c.answer(h)
+		}
+	}
+	if !c.fenceOK() {
+		return
+	}
+	for n := range c.st.byMach {
+		if c.mach[n] == nil && c.owns(n) {
+			m := newMachine(n)
+			m.ownEpoch, m.ownSince, m.heard = c.st.view.Epoch, c.now, c.now+tuning.TakeoverSilence
+			c.mach[n] = m
+		}
+	}
+	var silent []*Machine
+	heard := 0
+	for n, m := range c.mach {
+		if !c.owns(n) {
+			if c.now-m.heard > time.Minute {
+				delete(c.mach, n)
+			}
+			continue
+		}
+		mark := c.st.marks[n]
+		if mark.State == MarkGone {
+			if len(c.st.byMach[n]) == 0 && c.now-m.heard > time.Minute {
+				delete(c.mach, n)
+			}
+			continue
+		}
+		if len(c.st.byMach[n]) > 0 && m.shift > m.deadShift && c.leaseOver(m) {
+			c.log(1, "session given up", "machine", n, "shift", m.shift)
+			m.deadShift = max(m.shift, m.deadShift)
+			c.dirty = true
+		}
+		if !m.heardOnce && len(c.st.byMach[n]) > 0 && c.leaseOver(m) {
+			for id := range c.st.byMach[n] {
+				m.deadShift = max(m.deadShift, c.st.jobs[id.Job].task(id.I).Shift)
+			}
+			c.dirty = true
+		}
+		if c.now-m.heard > tuning.Silent {
+			if mark.State == "" {
+				silent = append(silent, m)
+			}
+		} else {
+			heard++
+			c.directHalts(m)
+		}
+	}
+	// Machines that fall silent together are rather cut off from here.
+	sort.Slice(silent, func(a, b int) bool { return silent[a].Name < silent[b].Name })
+	if len(silent) > 0 && (len(silent) <= heard || len(silent) == 1 && heard == 0) {
+		for _, m := range silent {
+			c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
+		}
+	}
+	for _, m := range c.mach {
+		if c.owns(m.Name) && m.errs >= tuning.SickErrors && c.st.marks[m.Name].State == "" &&
+			(len(m.errJobs) >= 2 || m.errs >= 2*tuning.SickErrors) {
+			c.mark(m.Name, MachineMark{MarkDrain, WhySick})
+		}
+	}
+}
+
+// directHalts sends halts of cancelled work straight to the worker; they may
+// arrive late, which does no harm, and are repeated by check-ins.
+func (c *Core) directHalts(m *Machine) {
+	if c.now < m.haltAt || m.Addr == "" {
+		return
+	}
+	var halts []Order
+	for _, id := range sortedTasks(m.tasks) {
+		s := m.tasks[id]
+		if s.State == SeenEnded {
+			continue
+		}
+		if o, ok := c.halt(m, s); ok && !(s.State == SeenSaving && o.Leeway > 0) {
+			halts = append(halts, o)
+		}
+	}
+	if len(halts) > 0 {
+		m.haltAt = c.now + tuning.HaltRepeat
+		c.emit(EfDirect{Machine: m.Name, Addr: m.Addr, Baton: c.st.view.Epoch, Shift: m.shift, Orders: halts})
+	}
+}
+
+func sortedHeld(h map[uint64]*heldCheckin) []*heldCheckin {
+	l := slices.Collect(maps.Values(h))
+	sort.Slice(l, func(a, b int) bool { return l[a].req < l[b].req })
+	return l
+}
+
+// mark wants a machine's mark written; one at a time per machine.
+func (c *Core) mark(name string, m MachineMark) {
+	if c.marking == nil {
+		c.marking = map[string]bool{}
+	}
+	if c.marking[name] || c.st.marks[name] == m || c.st.marks[name].State == MarkGone {
+		return
+	}
+	c.marking[name] = true
+	c.log(1, "machine marked", "machine", name, "mark", m.State, "why", m.Why)
+	key := preMach + name
+	c.commit(LaneTask, Txn{
+		When:  []Cond{{keyView, c.st.stamps[keyView]}, {key, c.st.stamps[key]}},
+		Apply: []Put{{Key: key, Value: enc(m)}},
+	}, func(CommitResult, EvCommit) { delete(c.marking, name) })
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,523 @@
+package core
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"brassglade/internal/tuning"
+)
+
+// peerView is what another node last told.
+type peerView struct {
+	at       time.Duration
+	epoch    uint64
+	load     float64
+	machines []PeerMachine
+	holds    map[string]bool
+}
+
+func (c *Core) onPeer(e EvPeer) {
+	m := e.Msg
+	if m.Steal != nil {
+		c.onSteal(e.From, m.Steal)
+		return
+	}
+	p := &peerView{at: c.now, epoch: m.Epoch, load: m.Load, machines: m.Machines, holds: map[string]bool{}}
+	for _, h := range m.Holds {
+		p.holds[h] = true
+	}
+	c.peers[e.From] = p
+	c.dirty = true
+}
+
+// whole: jobs that the leader places as one.
+func whole(sp *Spec) bool {
+	return sp.Shape == Gang || sp.OneZone || sp.Spread || sp.N >= tuning.LargeJob
+}
+
+// kept: the leader holds the machine for whole jobs; parts queue nothing on it.
+func (c *Core) kept(name string) bool {
+	if c.isLeader() {
+		return c.fleet.hold[name]
+	}
+	if c.st.view == nil {
+		return false
+	}
+	p := c.peers[c.st.view.Leader]
+	return p != nil && c.now-p.at < tuning.GangHold && p.holds[name]
+}
+
+// unplace takes a task off the queue it is in, if any.
+func (c *Core) unplace(id TaskID) {
+	if _, ok := c.placed[id]; !ok {
+		return
+	}
+	delete(c.placed, id)
+	if j := c.st.jobs[id.Job]; j != nil && j.queued > 0 {
+		j.queued--
+	}
+}
+
+func (c *Core) unplaceMachine(name string) {
+	m := c.mach[name]
+	if m == nil {
+		return
+	}
+	for _, id := range m.queue {
+		if c.placed[id] == name {
+			c.unplace(id)
+		}
+	}
+	m.queue = nil
+}
+
+// enqueue puts a task last in a machine's queue.
+func (c *Core) enqueue(id TaskID, m *Machine) {
+	c.unplace(id)
+	c.placed[id] = m.Name
+	m.queue = append(m.queue, id)
+	c.st.jobs[id.Job].queued++
+	c.dirty = true
+}
+
+// trim drops entries that left the queue.
+func (c *Core) trim(m *Machine) {
+	k := m.queue[:0]
+	for _, id := range m.queue {
+		if c.placed[id] == m.Name {
+			k = append(k, id)
+		}
+	}
+	m.queue = k
+}
+
+// runTime is the expected run time of a task, corrected by what the class
+// showed so far.
+func (c *Core) runTime(sp *Spec) float64 {
+	e := sp.Est
+	if e <= 0 {
+		e = tuning.SeedRun
+	}
+	if r := c.runs[sp.Class]; r != nil && r.n >= 3 {
+		e *= min(max(r.v, 0.25), 4)
+	}
+	return e
+}
+
+// load is L/mu: tasks queued and booked over the smoothed service rate of all
+// slots, in seconds.
+func (c *Core) load(m *Machine) float64 {
+	f := c.flavor(m.Type)
+	if f == nil {
+		return 0
+	}
+	l, need, run := 0, Res{}, 0.0
+	add := func(id TaskID) {
+		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil {
+			l++
+			need = need.Plus(j.H.Spec.Need, 1)
+			run += c.runTime(j.H.Spec)
+		}
+	}
+	for id := range c.st.byMach[m.Name] {
+		add(id)
+	}
+	for _, id := range m.queue {
+		if c.placed[id] == m.Name {
+			add(id)
+		}
+	}
+	if l == 0 {
+		return 0
+	}
+	k := int64(l)
+	mean := Res{need.CPU / k, need.GPU / k, need.Mem / k}
+	slots := max(f.Size.Times(mean, 64), 1)
+	t := run / float64(l)
+	if m.rate.n >= 3 {
+		t = (t + m.rate.v) / 2
+	}
+	return float64(l) * t / float64(slots)
+}
+
+func (c *Core) meanLoad() float64 {
+	s, n := 0.0, 0
+	for name, m := range c.mach {
+		if c.owns(name) && c.bookable(m) && !c.kept(name) {
+			s += c.load(m)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return s / float64(n)
+}
+
+// choice is a target of a draw.
+type choice struct {
+	name string  // machine or part
+	load float64 // s
+	cost float64 // s on top: the image fetch
+	m    *Machine
+}
+
+// draw picks from the masked softmax over the given choices, which are those
+// the mask left, and lets the learner gather the gradient.
+func (c *Core) draw(p *policy, cs []choice) int {
+	if len(cs) == 0 {
+		return -1
+	}
+	pr := p.probs(cs)
+	x := c.rng.Float64()
+	k := 0
+	for ; k < len(pr)-1; k++ {
+		if x -= pr[k]; x < 0 {
+			break
+		}
+	}
+	p.gather(cs, pr, k)
+	return k
+}
+
+// drivePlace queues this part's tasks on machines, passes and steals.
+func (c *Core) drivePlace() {
+	if !c.fenceOK() {
+		return
+	}
+	if c.now-c.drawAt >= tuning.DrawEvery/4 {
+		c.drawAt = c.now
+		c.tellPeers()
+		c.dirty = true
+		for _, m := range c.mach {
+			c.trim(m)
+		}
+	} else if !c.dirty {
+		return
+	}
+	var mine []*Machine
+	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+		m := c.mach[name]
+		if c.owns(name) && c.bookable(m) && !c.kept(name) {
+			mine = append(mine, m)
+		} else if len(m.queue) > 0 {
+			c.unplaceMachine(name)
+		}
+	}
+	loads := map[string]float64{}
+	for _, m := range mine {
+		loads[m.Name] = c.load(m)
+	}
+	for _, j := range c.st.open {
+		if j.nQ == 0 || j.queued >= min(j.nQ, tuning.QueuedPerJob) || whole(j.H.Spec) || int64(c.now) < j.hold {
+			continue
+		}
+		if j.Tasks == nil && c.partOf(j, Task{}) != c.cfg.Node {
+			continue
+		}
+		for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
+			id := TaskID{j.ID, i}
+			t := j.task(i)
+			if t.State != Queued || c.placed[id] != "" || c.giveTo[id] != "" || c.partOf(j, t) != c.cfg.Node {
+				continue
+			}
+			if !c.place(j, id, t, mine, loads) {
+				break
+			}
+		}
+	}
+	c.stealLocal(mine)
+	if c.now-c.stealAt >= tuning.DrawEvery/2 {
+		c.stealAt = c.now
+		c.stealRemote(mine)
+	}
+}
+
+// place draws the target of one arrival. False: nothing can take it now.
+func (c *Core) place(j *Job, id TaskID, t Task, mine []*Machine, loads map[string]float64) bool {
+	sp := j.H.Spec
+	var cs []choice
+	for _, m := range mine {
+		f := c.flavor(m.Type)
+		if !c.fits(sp, m.Type, m.Zone, m.Spot) || !f.Size.Holds(sp.Need) {
+			continue
+		}
+		x := choice{name: m.Name, load: loads[m.Name], m: m}
+		if _, ok := m.images[sp.Image]; !ok && f.Fetch > 0 {
+			x.cost = sp.ImageGB / f.Fetch
+		}
+		cs = append(cs, x)
+	}
+	// A task is passed once at most, so that it can't wander.
+	if t.Part == "" {
+		for _, n := range c.st.view.Serving {
+			p := c.peers[n]
+			if n == c.cfg.Node || p == nil || c.now-p.at > 3*tuning.DrawEvery {
+				continue
+			}
+			ok := false
+			for _, pm := range p.machines {
+				f := c.flavor(pm.Type)
+				ok = ok || f != nil && !pm.Recall && c.st.marks[pm.Name].State == "" && !c.kept(pm.Name) &&
+					f.Size.Holds(sp.Need) && c.fits(sp, pm.Type, pm.Zone, pm.Spot)
+			}
+			if ok {
+				cs = append(cs, choice{name: n, load: p.load, cost: tuning.PassCost})
+			}
+		}
+	}
+	k := c.draw(&c.learn.arrive, cs)
+	if k < 0 {
+		return false
+	}
+	if cs[k].m == nil {
+		c.giveTo[id] = cs[k].name
+		c.dirty = true
+		if p := c.peers[cs[k].name]; len(p.machines) > 0 {
+			p.load += c.runTime(sp) / float64(4*len(p.machines))
+		}
+		return true
+	}
+	m := cs[k].m
+	c.enqueue(id, m)
+	loads[m.Name] = c.load(m)
+	return true
+}
+
+// startable: a queued task that would fit the machine right now.
+func (c *Core) startable(id TaskID, m *Machine, free Res) bool {
+	j := c.st.jobs[id.Job]
+	if j == nil || j.H.State != JobOpen || j.task(id.I).State != Queued || int64(c.now) < j.hold {
+		return false
+	}
+	sp := j.H.Spec
+	return free.Holds(sp.Need) && c.fits(sp, m.Type, m.Zone, m.Spot) &&
+		within(c.st.teams[sp.Team].Used.Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max)
+}
+
+// stealLocal: a machine with idle room and an empty queue takes a waiting task
+// from another queue of this part.
+func (c *Core) stealLocal(mine []*Machine) {
+	waiting := false
+	for _, m := range mine {
+		waiting = waiting || len(m.queue) > 0
+	}
+	if !waiting {
+		return
+	}
+	for _, m := range mine {
+		if len(m.queue) > 0 {
+			continue
+		}
+		free := c.free(m.Name, c.flavor(m.Type).Size, nil)
+		for n := 0; n < tuning.HandoverMost; n++ {
+			var cs []choice
+			var take []TaskID
+			for _, o := range mine {
+				if o == m || len(o.queue) == 0 {
+					continue
+				}
+				of := c.free(o.Name, c.flavor(o.Type).Size, nil)
+				for _, id := range o.queue {
+					if c.placed[id] != o.Name {
+						continue
+					}
+					sp := c.st.jobs[id.Job].H.Spec
+					if of.Holds(sp.Need) {
+						of = of.Plus(sp.Need, -1)
+						continue // starts there at once
+					}
+					if c.startable(id, m, free) {
+						cs = append(cs, choice{name: o.Name, load: c.load(o)})
+						take = append(take, id)
+						break
+					}
+				}
+			}
+			k := c.draw(&c.learn.steal, cs)
+			if k < 0 {
+				break
+			}
+			free = free.Plus(c.st.jobs[take[k].Job].H.Spec.Need, -1)
+			c.enqueue(take[k], m)
+		}
+	}
+}
+
+// stealRemote asks another part for tasks that fit a machine with idle room.
+func (c *Core) stealRemote(mine []*Machine) {
+	for _, m := range mine {
+		if len(m.queue) > 0 {
+			continue
+		}
+		free := c.free(m.Name, c.flavor(m.Type).Size, nil)
+		parts := map[string]bool{}
+		for _, j := range c.st.open {
+			if j.nQ == 0 || whole(j.H.Spec) || !free.Holds(j.H.Spec.Need) || !c.fits(j.H.Spec, m.Type, m.Zone, m.Spot) {
+				continue
+			}
+			for i := 0; i < j.H.N && i < 256; i++ {
+				if t := j.task(i); t.State == Queued {
+					parts[c.partOf(j, t)] = true
+				}
+			}
+		}
+		var cs []choice
+		for _, n := range slices.Sorted(maps.Keys(parts)) {
+			if p := c.peers[n]; p != nil && n != c.cfg.Node {
+				cs = append(cs, choice{name: n, load: p.load})
+			}
+		}
+		if k := c.draw(&c.learn.steal, cs); k >= 0 {
+			c.emit(EfPeer{To: cs[k].name, Msg: PeerMsg{Epoch: c.st.view.Epoch, Steal: &Steal{
+				Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free, Most: tuning.HandoverMost}}})
+		}
+	}
+}
+
+// onSteal takes tasks off the queues and lets the next commit hand them over.
+func (c *Core) onSteal(from string, s *Steal) {
+	if !c.fenceOK() || !slices.Contains(c.st.view.Serving, from) {
+		return
+	}
+	room, n := s.Room, 0
+	give := func(id TaskID) {
+		j := c.st.jobs[id.Job]
+		if j == nil || n >= s.Most || j.H.State != JobOpen || c.giveTo[id] != "" || j.task(id.I).State != Queued ||
+			int64(c.now) < j.hold {
+			return
+		}
+		sp := j.H.Spec
+		if !room.Holds(sp.Need) || !c.fits(sp, s.Type, s.Zone, s.Spot) ||
+			!within(c.st.teams[sp.Team].Used.Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max) {
+			return
+		}
+		room = room.Plus(sp.Need, -1)
+		n++
+		c.giveTo[id] = from
+		c.dirty = true
+	}
+	// Unplaced ones first, then those that can't start where they queue.
+	for _, j := range c.st.open {
+		if j.nQ == 0 || whole(j.H.Spec) || j.queued >= j.nQ || n >= s.Most {
+			continue
+		}
+		for i := 0; i < j.H.N; i++ {
+			id := TaskID{j.ID, i}
+			if t := j.task(i); t.State == Queued && c.placed[id] == "" && c.partOf(j, t) == c.cfg.Node {
+				give(id)
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+		m := c.mach[name]
+		f := c.flavor(m.Type)
+		if len(m.queue) == 0 || f == nil {
+			continue
+		}
+		free := c.free(name, f.Size, nil)
+		for _, id := range m.queue {
+			if c.placed[id] != name {
+				continue
+			}
+			if sp := c.st.jobs[id.Job].H.Spec; free.Holds(sp.Need) {
+				free = free.Plus(sp.Need, -1)
+				continue
+			}
+			give(id)
+		}
+	}
+}
+
+// roomiest is the part with the most room for a job: slots free, else the
+// least load.
+func (c *Core) roomiest(sp *Spec) string {
+	best, bestV := c.cfg.Node, math.Inf(-1)
+	for _, n := range c.st.view.Serving {
+		room, load := int64(0), 0.0
+		for _, m := range c.inventory() {
+			f := c.flavor(m.typ)
+			if m.owner == n && f != nil && !c.kept(m.name) && c.fits(sp, m.typ, m.zone, m.spot) {
+				room += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
+			}
+		}
+		if n == c.cfg.Node {
+			load = c.meanLoad()
+		} else if p := c.peers[n]; p != nil {
+			load = p.load
+		}
+		v := float64(min(room, int64(sp.N)))*1000 - load
+		if v > bestV {
+			best, bestV = n, v
+		}
+	}
+	return best
+}
+
+// inv is a machine that some node hears.
+type inv struct {
+	name, addr, typ, zone, owner string
+	spot                         bool
+	shift                        uint64
+	images                       map[string]bool
+}
+
+// inventory lists the machines that take bookings, own ones and those that
+// peers told of lately; sorted by name.
+func (c *Core) inventory() []inv {
+	var l []inv
+	for name, m := range c.mach {
+		if c.owns(name) && c.bookable(m) {
+			im := map[string]bool{}
+			for k := range m.images {
+				im[k] = true
+			}
+			l = append(l, inv{name, m.Addr, m.Type, m.Zone, c.cfg.Node, m.Spot, m.shift, im})
+		}
+	}
+	for n, p := range c.peers {
+		if c.now-p.at > 4*tuning.DrawEvery || n == c.cfg.Node {
+			continue
+		}
+		for _, m := range p.machines {
+			if m.Recall || c.st.marks[m.Name].State != "" || c.st.view.owner(m.Name) != n {
+				continue
+			}
+			im := map[string]bool{}
+			for _, k := range m.Images {
+				im[k] = true
+			}
+			l = append(l, inv{m.Name, m.Addr, m.Type, m.Zone, n, m.Spot, m.Shift, im})
+		}
+	}
+	sort.Slice(l, func(a, b int) bool { return l[a].name < l[b].name })
+	return l
+}
+
+// tellPeers sends this node's machines and loads.
+func (c *Core) tellPeers() {
+	msg := PeerMsg{Epoch: c.st.view.Epoch, Load: c.meanLoad()}
+	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+		m := c.mach[name]
+		if !c.owns(name) || !m.heardOnce || c.now-m.heard > tuning.Silent || c.st.marks[name].State == MarkGone ||
+			m.shift <= m.deadShift {
+			continue
+		}
+		msg.Machines = append(msg.Machines, PeerMachine{
+			Name: name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Recall: m.recallAt >= 0 || !c.bookable(m), Shift: m.shift, Load: c.load(m),
+			Images: slices.Sorted(maps.Keys(m.images)),
+		})
+	}
+	if c.isLeader() {
+		msg.Holds = slices.Sorted(maps.Keys(c.fleet.hold))
+	}
+	for _, n := range c.cfg.Nodes {
+		if n != c.cfg.Node {
+			c.emit(EfPeer{To: n, Msg: msg})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,290 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	json "github.com/goccy/go-json"
+
+	"brassglade/internal/tuning"
+)
+
+type bounce struct {
+	at    time.Duration
+	owner string
+}
+
+func enc(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // own records always encode
+	}
+	return b
+}
+
+// hash64 is FNV-1a with a finishing mix, for rendezvous hashing.
+func hash64(parts ...string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range parts {
+		for i := 0; i < len(s); i++ {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+		h = (h ^ 0xff) * 1099511628211
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func rendezvous(key string, nodes []string) string {
+	best, bestH := "", uint64(0)
+	for _, n := range nodes {
+		if h := hash64(n, key); best == "" || h > bestH {
+			best, bestH = n, h
+		}
+	}
+	return best
+}
+
+// owner of a machine under a view: its override, or the rendezvous hash.
+func (v *View) owner(machine string) string {
+	if v == nil {
+		return ""
+	}
+	if o := v.Over[machine]; o != "" && slices.Contains(v.Serving, o) {
+		return o
+	}
+	return rendezvous(machine, v.Serving)
+}
+
+func (c *Core) isLeader() bool {
+	return c.st.view != nil && c.st.view.Leader == c.cfg.Node && c.st.view.Members[c.cfg.Node] == c.inc
+}
+
+func (c *Core) owns(machine string) bool {
+	v := c.st.view
+	return v != nil && v.Members[c.cfg.Node] == c.inc && v.owner(machine) == c.cfg.Node
+}
+
+// partOf tells whose queue a queued task belongs to. A part that doesn't
+// serve falls to a hash over the view without any write.
+func (c *Core) partOf(j *Job, t Task) string {
+	p := t.Part
+	if p == "" {
+		p = j.H.Part
+	}
+	v := c.st.view
+	if v == nil || slices.Contains(v.Serving, p) {
+		return p
+	}
+	return rendezvous(j.ID, v.Serving)
+}
+
+// adoptView takes a newer view from the watch and settles from when on this
+// node owns each machine.
+func (c *Core) adoptView(v *View) {
+	old := c.st.view
+	c.st.view = v
+	// The confirmations so far were about the old view.
+	c.fenceAt = -1
+	// Continuous: this incarnation saw the view just before this one.
+	cont := old != nil && old.Epoch+1 == v.Epoch && old.Members[c.cfg.Node] == c.inc
+	names := map[string]bool{}
+	for n := range c.mach {
+		names[n] = true
+	}
+	for n := range c.st.byMach {
+		names[n] = true
+	}
+	for n := range names {
+		if !c.owns(n) {
+			c.unplaceMachine(n)
+			continue
+		}
+		if cont && old.owner(n) == c.cfg.Node {
+			continue
+		}
+		c.takeOver(n)
+	}
+	c.placed = map[TaskID]string{}
+	for _, m := range c.mach {
+		m.queue = nil
+	}
+	for _, j := range c.st.jobs {
+		j.queued = 0
+	}
+	c.doomed = map[doom]bool{} // their transactions named the old view
+	for team, t := range c.st.teams {
+		if c.st.sums[team] != t.Used {
+			c.log(1, "team usage differs from bookings", "team", team, "used", t.Used, "bookings", c.st.sums[team])
+		}
+	}
+	if old == nil || old.Leader != v.Leader {
+		c.fleet.reset(c.now)
+	}
+	c.log(1, "view", "epoch", v.Epoch, "leader", v.Leader, "serving", v.Serving, "overrides", len(v.Over))
+}
+
+// takeOver starts this node's ownership of a machine.
+func (c *Core) takeOver(name string) {
+	m := c.mach[name]
+	if m == nil {
+		m = newMachine(name)
+		c.mach[name] = m
+	}
+	m.ownEpoch, m.ownSince, m.last200 = c.st.view.Epoch, c.now, -1
+	m.heard = c.now + tuning.TakeoverSilence
+	clear(m.sent)
+}
+
+// driveView proposes a new view where the member keys, or workers that can't
+// reach their owners, ask for one. Only the conditional write decides.
+func (c *Core) driveView() {
+	if c.proposing || !c.synced || c.grant != grantMember || c.st.members[c.cfg.Node] != c.inc || c.now < c.proposeAt {
+		return
+	}
+	v := c.st.view
+	next := c.desiredView()
+	if next == nil {
+		return
+	}
+	epoch := uint64(0)
+	if v != nil {
+		epoch = v.Epoch
+	}
+	next.Epoch = epoch + 1
+	c.proposing = true
+	c.log(1, "proposing a view", "epoch", next.Epoch, "leader", next.Leader, "serving", next.Serving)
+	c.commit(LaneView, Txn{
+		When:  []Cond{{keyView, c.st.stamps[keyView]}},
+		Apply: []Put{{Key: keyView, Value: enc(next)}},
+	}, func(CommitResult, EvCommit) {
+		c.proposing = false
+		c.proposeAt = c.now + tuning.ProposePause + time.Duration(c.rng.Int64N(int64(tuning.ProposePause)))
+	})
+}
+
+func (c *Core) desiredView() *View {
+	v := c.st.view
+	next := &View{Members: maps.Clone(c.st.members), Over: map[string]string{}}
+	changed := v == nil || !maps.Equal(v.Members, next.Members)
+	names := slices.Sorted(maps.Keys(next.Members))
+	if v == nil {
+		next.Serving, next.Leader = names, names[0]
+		return next
+	}
+	// Who serves: members, less those that no worker reached lately.
+	for _, n := range names {
+		was := v.Members[n] == next.Members[n]
+		out := was && !slices.Contains(v.Serving, n)
+		if out {
+			since, ok := c.offSince[n]
+			if !ok {
+				c.offSince[n], since = c.now, c.now
+			}
+			if c.now-since < tuning.ReserveAfter {
+				continue
+			}
+			changed = true
+		}
+		delete(c.offSince, n)
+		next.Serving = append(next.Serving, n)
+	}
+	bad, over := c.unreachable()
+	for n := range bad {
+		if len(next.Serving) > 1 && slices.Contains(next.Serving, n) {
+			next.Serving = slices.DeleteFunc(next.Serving, func(s string) bool { return s == n })
+			changed = true
+			for m := range c.bounces {
+				delete(c.bounces, m)
+			}
+		}
+	}
+	if len(next.Serving) == 0 {
+		next.Serving = names
+	}
+	for m, o := range v.Over {
+		if _, ok := next.Members[o]; ok && c.st.marks[m].State != MarkGone {
+			next.Over[m] = o
+		}
+	}
+	for m := range over {
+		if next.Over[m] != c.cfg.Node {
+			next.Over[m] = c.cfg.Node
+			changed = true
+			delete(c.bounces, m)
+		}
+	}
+	next.Leader = v.Leader
+	if v.Members[v.Leader] != next.Members[v.Leader] || next.Members[v.Leader] == "" || !slices.Contains(next.Serving, v.Leader) {
+		next.Leader = next.Serving[0]
+		for _, n := range next.Serving { // prefer one that stayed
+			if v.Members[n] == next.Members[n] {
+				next.Leader = n
+				break
+			}
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return next
+}
+
+// noteBounce remembers that a worker was sent on to its owner.
+func (c *Core) noteBounce(machine, owner string) {
+	keep := c.bounces[machine][:0]
+	for _, b := range c.bounces[machine] {
+		if c.now-b.at < tuning.BounceWindow && b.owner == owner {
+			keep = append(keep, b)
+		}
+	}
+	c.bounces[machine] = append(keep, bounce{c.now, owner})
+}
+
+// unreachable returns the owners that several workers can't reach, and single
+// machines that this node should rather own.
+func (c *Core) unreachable() (nodes map[string]bool, machines map[string]bool) {
+	count := map[string][]string{}
+	for m, bs := range c.bounces {
+		n := 0
+		owner := c.st.view.owner(m)
+		for _, b := range bs {
+			if c.now-b.at < tuning.BounceWindow && b.owner == owner {
+				n++
+			}
+		}
+		if n > tuning.BounceCount {
+			count[owner] = append(count[owner], m)
+		}
+		if n == 0 {
+			delete(c.bounces, m)
+		}
+	}
+	nodes, machines = map[string]bool{}, map[string]bool{}
+	owners := slices.Sorted(maps.Keys(count))
+	for _, o := range owners {
+		if o == c.cfg.Node {
+			continue
+		}
+		sort.Strings(count[o])
+		owned := 0
+		for m := range c.mach {
+			if c.st.view.owner(m) == o && c.st.marks[m].State != MarkGone {
+				owned++
+			}
+		}
+		if len(count[o]) >= tuning.UnreachableMachines && 2*len(count[o]) > owned {
+			nodes[o] = true
+			continue
+		}
+		for _, m := range count[o] {
+			machines[m] = true
+		}
+	}
+	return nodes, machines
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,252 @@
+// Package node puts sockets and timers round the core.
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	json "github.com/goccy/go-json"
+
+	crand "crypto/rand"
+
+	"brassglade/internal/api"
+	"brassglade/internal/cloud"
+	"brassglade/internal/config"
+	"brassglade/internal/core"
+	"brassglade/internal/peer"
+	"brassglade/internal/state"
+	"brassglade/internal/tuning"
+	"brassglade/internal/wire"
+)
+
+// ask is a request on its way through the loop.
+type ask struct {
+	make func(uint64) core.Event
+	ch   chan core.Effect
+}
+
+// Node is one running controller.
+type Node struct {
+	start   time.Time
+	core    *core.Core
+	self    string
+	events  chan core.Event // answers to the core's own requests
+	users   chan ask
+	workers chan ask
+	waiting map[uint64]chan core.Effect
+	nextReq uint64
+	ready   atomic.Bool
+
+	state   *state.Client
+	cloud   *cloud.Client
+	links   map[string]*peer.Link
+	direct  chan struct{}
+	workMu  sync.Mutex
+	workCon map[string]*wire.Client
+}
+
+// Run serves until the process is killed or a listener fails.
+func Run(ctx context.Context, s *config.Settings, op *config.Operator) error {
+	var id [6]byte
+	if _, err := crand.Read(id[:]); err != nil {
+		return err
+	}
+	inc := hex.EncodeToString(id[:])
+	var seed uint64
+	for _, b := range id {
+		seed = seed<<8 | uint64(b)
+	}
+	if m := s.Params.MachineLimits.RamMb; m > 0 {
+		debug.SetMemoryLimit(int64(m * tuning.MemoryShare * (1 << 20)))
+	}
+	debug.SetGCPercent(tuning.GCPercent)
+	share := tuning.BudgetShare / float64(len(s.Members)+1)
+	n := &Node{
+		start: time.Now(), core: core.New(s.Core(op, seed), inc), self: s.Member,
+		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
+		workers: make(chan ask, tuning.WorkerQueue), waiting: map[uint64]chan core.Effect{},
+		state:  state.New(s.External.State, s.Params.State.Rps*share, s.Params.State.WriteRps*share),
+		cloud:  cloud.New(s.External.Cloud, s.Params.Cloud.Rps*tuning.BudgetShare),
+		links:  map[string]*peer.Link{},
+		direct: make(chan struct{}, tuning.DirectAtOnce), workCon: map[string]*wire.Client{},
+	}
+	slog.Info("starting", "member", s.Member, "incarnation", inc, "serve_on", s.ServeOn, "back", s.Back)
+	ln, err := net.Listen("tcp4", s.ServeOn)
+	if err != nil {
+		return err
+	}
+	back, err := net.Listen("tcp4", s.Back)
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Members {
+		n.links[m.Member] = peer.Dial(m.Address)
+	}
+	failed := make(chan error, 3)
+	go func() {
+		failed <- peer.Serve(back, func(from string, m core.PeerMsg) {
+			n.events <- core.EvPeer{From: from, Msg: m}
+		})
+	}()
+	go func() {
+		if err := api.New(n).Serve(ln); err != http.ErrServerClosed {
+			failed <- err
+		}
+	}()
+	go n.state.Watch(func(e core.Event) { n.events <- e })
+	go n.loop()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Ready answers GET /up.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Ask puts a request into the loop's stage; a full stage says no at once.
+func (n *Node) Ask(worker bool, make_ func(uint64) core.Event) (core.Effect, bool) {
+	a := ask{make_, make(chan core.Effect, 1)}
+	q := n.users
+	if worker {
+		q = n.workers
+	}
+	select {
+	case q <- a:
+	default:
+		return nil, false
+	}
+	t := time.NewTimer(tuning.AskPatience)
+	defer t.Stop()
+	select {
+	case e := <-a.ch:
+		return e, true
+	case <-t.C:
+		return nil, false
+	}
+}
+
+func (n *Node) loop() {
+	tick := time.NewTicker(tuning.Tick)
+	for {
+		// Answers first: they carry view, fence and outcomes.
+		select {
+		case e := <-n.events:
+			n.step(e)
+			continue
+		default:
+		}
+		select {
+		case e := <-n.events:
+			n.step(e)
+		case a := <-n.workers:
+			n.request(a)
+		case a := <-n.users:
+			n.request(a)
+		case <-tick.C:
+			n.step(core.EvTick{})
+		}
+	}
+}
+
+func (n *Node) request(a ask) {
+	n.nextReq++
+	n.waiting[n.nextReq] = a.ch
+	n.step(a.make(n.nextReq))
+}
+
+func (n *Node) answer(req uint64, e core.Effect) {
+	if ch, ok := n.waiting[req]; ok {
+		delete(n.waiting, req)
+		ch <- e
+	}
+}
+
+func (n *Node) step(ev core.Event) {
+	for _, e := range n.core.Step(time.Since(n.start), ev) {
+		n.carry(e)
+	}
+	n.ready.Store(n.core.Ready())
+}
+
+func (n *Node) send(f func() core.Event) {
+	go func() { n.events <- f() }()
+}
+
+// carry carries out one effect.
+func (n *Node) carry(e core.Effect) {
+	switch x := e.(type) {
+	case core.EfCheckin:
+		n.answer(x.Req, x)
+	case core.EfUser:
+		n.answer(x.Req, x)
+	case core.EfConfirm:
+		n.send(func() core.Event { return n.state.Confirm(x) })
+	case core.EfCommit:
+		n.send(func() core.Event { return n.state.Commit(x) })
+	case core.EfGrant:
+		n.send(func() core.Event { return n.state.Grant(x) })
+	case core.EfRenew:
+		n.send(func() core.Event { return n.state.Renew(x) })
+	case core.EfFlavors:
+		n.send(func() core.Event { return n.cloud.Flavors() })
+	case core.EfList:
+		n.send(func() core.Event { return n.cloud.List() })
+	case core.EfRent:
+		n.send(func() core.Event { return n.cloud.Rent(x) })
+	case core.EfReturn:
+		n.send(func() core.Event { return n.cloud.Return(x) })
+	case core.EfPeer:
+		if l := n.links[x.To]; l != nil {
+			l.Send(peer.Encode(n.self, x.Msg))
+		}
+	case core.EfDirect:
+		select {
+		case n.direct <- struct{}{}:
+			n.send(func() core.Event {
+				defer func() { <-n.direct }()
+				return n.order(x)
+			})
+		default: // the next check-in carries it
+		}
+	case core.EfLog:
+		level := [...]slog.Level{slog.LevelError, slog.LevelInfo, slog.LevelDebug}[x.Level]
+		slog.Log(context.Background(), level, x.Msg, x.Args...)
+	}
+}
+
+func (n *Node) order(x core.EfDirect) core.Event {
+	n.workMu.Lock()
+	w := n.workCon[x.Addr]
+	if w == nil {
+		if len(n.workCon) > 500 {
+			clear(n.workCon)
+		}
+		w = wire.New(x.Addr)
+		n.workCon[x.Addr] = w
+	}
+	n.workMu.Unlock()
+	ev := core.EvDirect{Machine: x.Machine}
+	body, err := json.Marshal(api.NewCommands(x))
+	if err != nil {
+		return ev
+	}
+	st, out, err := w.Do("POST", "/commands", body, tuning.DirectTimeout)
+	if err != nil || st != 200 && st != 409 {
+		return ev
+	}
+	ev.OK = st == 200
+	if r, ok := api.ParseReport(out); ok && r.Machine == x.Machine {
+		ev.R = &r
+	}
+	return ev
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,197 @@
+// Package peer carries hints between controllers: FlatBuffers in
+// length-prefixed frames over TCP. Messages may be lost; a full buffer drops.
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"brassglade/internal/core"
+	"brassglade/internal/peer/fb"
+	"brassglade/internal/tuning"
+)
+
+// Encode writes a message as a FlatBuffer.
+func Encode(from string, m core.PeerMsg) []byte {
+	b := flatbuffers.NewBuilder(1024)
+	str := func(l []string) []flatbuffers.UOffsetT {
+		o := make([]flatbuffers.UOffsetT, len(l))
+		for i, s := range l {
+			o[i] = b.CreateString(s)
+		}
+		return o
+	}
+	vector := func(o []flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+		b.StartVector(4, len(o), 4)
+		for i := len(o) - 1; i >= 0; i-- {
+			b.PrependUOffsetT(o[i])
+		}
+		return b.EndVector(len(o))
+	}
+	ms := make([]flatbuffers.UOffsetT, len(m.Machines))
+	for i, x := range m.Machines {
+		name, addr := b.CreateString(x.Name), b.CreateString(x.Addr)
+		typ, zone := b.CreateString(x.Type), b.CreateString(x.Zone)
+		images := vector(str(x.Images))
+		fb.MachineStart(b)
+		fb.MachineAddName(b, name)
+		fb.MachineAddAddr(b, addr)
+		fb.MachineAddType(b, typ)
+		fb.MachineAddZone(b, zone)
+		fb.MachineAddSpot(b, x.Spot)
+		fb.MachineAddRecall(b, x.Recall)
+		fb.MachineAddShift(b, x.Shift)
+		fb.MachineAddLoad(b, x.Load)
+		fb.MachineAddImages(b, images)
+		ms[i] = fb.MachineEnd(b)
+	}
+	machines, holds := vector(ms), vector(str(m.Holds))
+	var steal flatbuffers.UOffsetT
+	if s := m.Steal; s != nil {
+		typ, zone := b.CreateString(s.Type), b.CreateString(s.Zone)
+		fb.StealStart(b)
+		fb.StealAddType(b, typ)
+		fb.StealAddZone(b, zone)
+		fb.StealAddSpot(b, s.Spot)
+		fb.StealAddCpu(b, s.Room.CPU)
+		fb.StealAddGpu(b, s.Room.GPU)
+		fb.StealAddMem(b, s.Room.Mem)
+		fb.StealAddMost(b, int32(s.Most))
+		steal = fb.StealEnd(b)
+	}
+	f := b.CreateString(from)
+	fb.MessageStart(b)
+	fb.MessageAddFrom(b, f)
+	fb.MessageAddEpoch(b, m.Epoch)
+	fb.MessageAddLoad(b, m.Load)
+	fb.MessageAddMachines(b, machines)
+	fb.MessageAddHolds(b, holds)
+	if m.Steal != nil {
+		fb.MessageAddSteal(b, steal)
+	}
+	b.Finish(fb.MessageEnd(b))
+	return b.FinishedBytes()
+}
+
+// Decode reads a message; malformed bytes give an error, never a panic.
+func Decode(p []byte) (from string, m core.PeerMsg, err error) {
+	defer func() {
+		if recover() != nil {
+			err = errors.New("malformed peer message")
+		}
+	}()
+	if len(p) < 8 {
+		return "", m, errors.New("short peer message")
+	}
+	r := fb.GetRootAsMessage(p, 0)
+	from, m.Epoch, m.Load = string(r.From()), r.Epoch(), r.Load()
+	for i := 0; i < r.MachinesLength(); i++ {
+		var x fb.Machine
+		r.Machines(&x, i)
+		pm := core.PeerMachine{
+			Name: string(x.Name()), Addr: string(x.Addr()), Type: string(x.Type()), Zone: string(x.Zone()),
+			Spot: x.Spot(), Recall: x.Recall(), Shift: x.Shift(), Load: x.Load(),
+		}
+		for k := 0; k < x.ImagesLength(); k++ {
+			pm.Images = append(pm.Images, string(x.Images(k)))
+		}
+		m.Machines = append(m.Machines, pm)
+	}
+	for i := 0; i < r.HoldsLength(); i++ {
+		m.Holds = append(m.Holds, string(r.Holds(i)))
+	}
+	if s := r.Steal(nil); s != nil {
+		m.Steal = &core.Steal{
+			Type: string(s.Type()), Zone: string(s.Zone()), Spot: s.Spot(), Most: int(s.Most()),
+			Room: core.Res{CPU: s.Cpu(), GPU: s.Gpu(), Mem: s.Mem()},
+		}
+	}
+	return from, m, nil
+}
+
+const frameMost = 1 << 20
+
+// Link sends to one other node.
+type Link struct {
+	ch chan []byte
+}
+
+// Dial starts a link; it connects when there is something to send.
+func Dial(addr string) *Link {
+	l := &Link{ch: make(chan []byte, tuning.PeerQueue)}
+	go l.run(addr)
+	return l
+}
+
+// Send queues a frame, or drops it when the buffer is full.
+func (l *Link) Send(p []byte) {
+	select {
+	case l.ch <- p:
+	default:
+	}
+}
+
+func (l *Link) run(addr string) {
+	var c net.Conn
+	var failed time.Time
+	for p := range l.ch {
+		if c == nil {
+			if time.Since(failed) < tuning.PeerRetry {
+				continue
+			}
+			var err error
+			if c, err = net.DialTimeout("tcp4", addr, tuning.PeerTimeout); err != nil {
+				c, failed = nil, time.Now()
+				continue
+			}
+		}
+		f := binary.LittleEndian.AppendUint32(make([]byte, 0, len(p)+4), uint32(len(p)))
+		_ = c.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout))
+		if _, err := c.Write(append(f, p...)); err != nil {
+			_ = c.Close()
+			c, failed = nil, time.Now()
+		}
+	}
+}
+
+// Serve accepts links and hands each message to take.
+func Serve(ln net.Listener, take func(from string, m core.PeerMsg)) error {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			var head [4]byte
+			for {
+				_ = c.SetReadDeadline(time.Now().Add(tuning.PeerIdle))
+				if _, err := io.ReadFull(r, head[:]); err != nil {
+					return
+				}
+				n := binary.LittleEndian.Uint32(head[:])
+				if n > frameMost {
+					return
+				}
+				p := make([]byte, n)
+				if _, err := io.ReadFull(r, p); err != nil {
+					return
+				}
+				from, m, err := Decode(p)
+				if err != nil {
+					slog.Info("peer message", "err", err)
+					return
+				}
+				take(from, m)
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,237 @@
+// Package state is the client of the state service: boundary structs, the
+// watch loop, and the node's share of the request rates.
+package state
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"sort"
+	"time"
+
+	json "github.com/goccy/go-json"
+
+	"brassglade/internal/core"
+	"brassglade/internal/tuning"
+	"brassglade/internal/wire"
+)
+
+type item struct {
+	Path  string          `json:"Path"`
+	V     json.RawMessage `json:"V"`
+	Stamp uint64          `json:"Stamp"`
+}
+
+type page struct {
+	Items     []item `json:"Items"`
+	Truncated bool   `json:"Truncated"`
+	Ledger    uint64 `json:"Ledger"`
+}
+
+type event struct {
+	Set    string          `json:"Set"`
+	Delete string          `json:"Delete"`
+	V      json.RawMessage `json:"V"`
+	Stamp  uint64          `json:"Stamp"`
+}
+
+type watched struct {
+	Ledger uint64  `json:"Ledger"`
+	Events []event `json:"Events"`
+}
+
+type cond struct {
+	Path  string `json:"Path"`
+	Stamp uint64 `json:"Stamp"`
+}
+
+type change struct {
+	Set    string          `json:"Set,omitempty"`
+	Delete string          `json:"Delete,omitempty"`
+	V      json.RawMessage `json:"V,omitempty"`
+	Permit uint64          `json:"Permit,omitempty"`
+}
+
+type commit struct {
+	When  []cond   `json:"When,omitempty"`
+	Apply []change `json:"Apply,omitempty"`
+}
+
+type committed struct {
+	Ledger uint64   `json:"Ledger"`
+	Failed []string `json:"failed"`
+}
+
+type grant struct {
+	LifeMs int64  `json:"LifeMs,omitempty"`
+	Permit uint64 `json:"Permit,omitempty"`
+}
+
+// Client of the state service.
+type Client struct {
+	w, watch *wire.Client
+	b        *wire.Budget
+}
+
+// New returns a client that spends the given rates.
+func New(addr string, rps, wps float64) *Client {
+	return &Client{wire.New(addr), wire.New(addr), wire.NewBudget(rps, wps)}
+}
+
+// Confirm compares the view's stamp without changing anything.
+func (c *Client) Confirm(e core.EfConfirm) core.EvConfirm {
+	c.b.Wait(core.LaneView, 0)
+	body, _ := json.Marshal(commit{When: []cond{{e.Key, e.Stamp}}})
+	st, out, err := c.w.Do("POST", "/commit", body, tuning.StateTimeout)
+	var r committed
+	if err != nil || st != 200 && st != 409 || json.Unmarshal(out, &r) != nil {
+		return core.EvConfirm{}
+	}
+	return core.EvConfirm{OK: true, Same: st == 200, Ledger: r.Ledger}
+}
+
+// Commit carries out a transaction.
+func (c *Client) Commit(e core.EfCommit) core.EvCommit {
+	c.b.Wait(e.Lane, len(e.T.Apply))
+	var t commit
+	for _, k := range e.T.When {
+		t.When = append(t.When, cond{k.Key, k.Stamp})
+	}
+	for _, a := range e.T.Apply {
+		if a.Value == nil {
+			t.Apply = append(t.Apply, change{Delete: a.Key})
+		} else {
+			t.Apply = append(t.Apply, change{Set: a.Key, V: a.Value, Permit: a.Permit})
+		}
+	}
+	body, err := json.Marshal(t)
+	if err != nil {
+		return core.EvCommit{ID: e.ID, Result: core.Refused}
+	}
+	st, out, err := c.w.Do("POST", "/commit", body, tuning.StateTimeout)
+	ev := core.EvCommit{ID: e.ID, Result: core.Unknown}
+	var r committed
+	switch {
+	case errors.Is(err, wire.ErrNotSent):
+		ev.Result = core.Refused
+	case err != nil:
+	case st == 200 || st == 409:
+		if json.Unmarshal(out, &r) != nil {
+			break
+		}
+		ev.Ledger, ev.Failed = r.Ledger, r.Failed
+		ev.Result = core.Committed
+		if st == 409 {
+			ev.Result = core.Conflict
+		}
+	case st == 400:
+		slog.Error("state service refuses a transaction", "answer", string(out))
+		ev.Result = core.Refused
+	case st == 429 || st == 503:
+		ev.Result = core.Refused
+	}
+	return ev
+}
+
+// Grant asks for a grant.
+func (c *Client) Grant(e core.EfGrant) core.EvGrant {
+	c.b.Wait(core.LaneView, 0)
+	body, _ := json.Marshal(grant{LifeMs: e.Life.Milliseconds()})
+	st, out, err := c.w.Do("POST", "/grants", body, tuning.StateTimeout)
+	var r grant
+	if err != nil || st != 200 || json.Unmarshal(out, &r) != nil {
+		return core.EvGrant{}
+	}
+	return core.EvGrant{OK: true, Permit: r.Permit}
+}
+
+// Renew renews it.
+func (c *Client) Renew(e core.EfRenew) core.EvRenew {
+	c.b.Wait(core.LaneView, 0)
+	st, _, err := c.w.Do("POST", fmt.Sprintf("/grants/%d/renew", e.Permit), []byte("{}"), tuning.StateTimeout)
+	return core.EvRenew{OK: err == nil && st == 200, Gone: err == nil && st == 404}
+}
+
+// Watch keeps the core's cache: a snapshot, then changes in order, for ever.
+func (c *Client) Watch(emit func(core.Event)) {
+	for {
+		since, err := c.snapshot(emit)
+		if err != nil {
+			time.Sleep(tuning.ConfirmRetry)
+			continue
+		}
+		for {
+			next, again := c.changes(since, emit)
+			if again {
+				break
+			}
+			since = next
+		}
+	}
+}
+
+func (c *Client) snapshot(emit func(core.Event)) (uint64, error) {
+	ev := core.EvSnapshot{}
+	after := ""
+	for first := true; ; first = false {
+		c.b.Wait(core.LaneView, 0)
+		q := "/kv?Starts=" + core.KeyRoot + "&Page=1000"
+		if after != "" {
+			q += "&Since=" + url.QueryEscape(after)
+		}
+		st, out, err := c.watch.Do("GET", q, nil, 2*tuning.StateTimeout)
+		if err != nil || st != 200 {
+			return 0, fmt.Errorf("status %d: %w", st, err)
+		}
+		var p page
+		if err := json.Unmarshal(out, &p); err != nil {
+			return 0, err
+		}
+		if first {
+			ev.Ledger = p.Ledger
+		}
+		for _, i := range p.Items {
+			ev.Items = append(ev.Items, core.KV{Key: i.Path, Value: bytes.Clone(i.V), Stamp: i.Stamp})
+			after = i.Path
+		}
+		if !p.Truncated || len(p.Items) == 0 {
+			break
+		}
+	}
+	emit(ev)
+	return ev.Ledger, nil
+}
+
+// changes waits for the next changes; again: a new snapshot is needed.
+func (c *Client) changes(since uint64, emit func(core.Event)) (next uint64, again bool) {
+	c.b.Wait(core.LaneView, 0)
+	q := fmt.Sprintf("/watch?Starts=%s&Since=%d&WaitMs=%d", core.KeyRoot, since, tuning.WatchWait.Milliseconds())
+	st, out, err := c.watch.Do("GET", q, nil, tuning.WatchWait+tuning.StateTimeout)
+	if err != nil || st != 200 {
+		if st == 410 {
+			return 0, true
+		}
+		time.Sleep(tuning.ConfirmRetry)
+		return since, false
+	}
+	var w watched
+	if err := json.Unmarshal(out, &w); err != nil {
+		slog.Error("watch answer", "err", err)
+		return 0, true
+	}
+	ev := core.EvWatch{Ledger: w.Ledger}
+	for _, x := range w.Events {
+		kv := core.KV{Key: x.Set, Value: bytes.Clone(x.V), Stamp: x.Stamp}
+		if x.Set == "" {
+			kv.Key, kv.Value = x.Delete, nil
+		}
+		ev.Items = append(ev.Items, kv)
+	}
+	// In order of revisions; within one, headers before their chunks.
+	sort.SliceStable(ev.Items, func(a, b int) bool { return ev.Items[a].Stamp < ev.Items[b].Stamp })
+	emit(ev)
+	time.Sleep(tuning.WatchGap)
+	return max(since, w.Ledger), false
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,211 @@
+// Package tuning holds every constant of the service, each with its unit and
+// the reason for its value. Nothing here repeats a figure of one deployment;
+// those come with the settings file.
+package tuning
+
+import "time"
+
+// Entitlement: who may act, and for how long after last having been sure.
+const (
+	// Fence is how old the newest confirmation of view and cache may be while
+	// a node still answers check-ins with 200. Together with lease_s and the
+	// margins it must stay under cancel_s; config refuses settings where not.
+	Fence = 7 * time.Second
+	// ConfirmEvery is the pause between confirmations when no reader asks;
+	// several fit into Fence, so that one lost request costs nothing.
+	ConfirmEvery = 1200 * time.Millisecond
+	// ConfirmGap is the least pause between two confirmations asked for by
+	// readers; it bounds the requests that polls can cause.
+	ConfirmGap = 60 * time.Millisecond
+	// ConfirmRetry is the pause after a failed confirmation.
+	ConfirmRetry = 350 * time.Millisecond
+	// GrantLife is the life of the grant that the member key hangs on: the
+	// time until the others notice that a node is gone.
+	GrantLife = 5 * time.Second
+	// RenewEvery renews the grant; three tries fit into GrantLife.
+	RenewEvery = 1400 * time.Millisecond
+	// ProposePause spaces proposals of a changed view by one node.
+	ProposePause = 700 * time.Millisecond
+	// DriftMargin covers clocks 0.05% apart over any lease used here, and the
+	// coarse timers of the machines.
+	DriftMargin = 700 * time.Millisecond
+	// BounceWindow and BounceCount: a worker sent to the same owner that often
+	// within the window can't reach it.
+	BounceWindow = 14 * time.Second
+	BounceCount  = 2
+	// UnreachableMachines bounced off one owner mean the owner is at fault.
+	UnreachableMachines = 2
+	// ReserveAfter is how long a node that was taken off serving stays off.
+	ReserveAfter = 20 * time.Second
+)
+
+// Requests to the state service and the cloud.
+const (
+	// StateTimeout ends a request whose answer is then unknown; a few hundred
+	// milliseconds happen on good days.
+	StateTimeout = 1500 * time.Millisecond
+	// WatchWait is how long one watch waits; short, so that a dead connection
+	// shows soon.
+	WatchWait = 4 * time.Second
+	// WatchGap spaces watches, which count as requests.
+	WatchGap = 90 * time.Millisecond
+	// CloudTimeout ends a request to the cloud.
+	CloudTimeout = 4 * time.Second
+	// BudgetShare is the part of the published rates that all nodes together
+	// plan to use; the rest is for clocks and retries.
+	BudgetShare = 0.92
+	// TxnBytes bounds the text of one transaction, under the 64 KiB limit.
+	TxnBytes = 44 << 10
+	// TaskBytes is the room one task may take in its chunk.
+	TaskBytes = 96
+	// HeaderBytes is the room kept for a job header's fixed part.
+	HeaderBytes = 3000
+)
+
+// Users.
+const (
+	// PollPatience ends the wait of a poll for its read index; users wait 2 s.
+	PollPatience = 1200 * time.Millisecond
+	// SubmitPatience ends the wait for a submission's commit; users wait 5 s.
+	SubmitPatience = 2500 * time.Millisecond
+	// RetryAfterS is told to users who could not be served, in seconds.
+	RetryAfterS = 1
+	// UserQueue bounds the user requests waiting for the core; beyond it the
+	// answer is an immediate 503.
+	UserQueue = 64
+	// WorkerQueue bounds the waiting check-ins, at least one per machine.
+	WorkerQueue = 256
+	// BodyLimit is the largest request body, by the protocol.
+	BodyLimit = 64 << 10
+)
+
+// Workers.
+const (
+	// CheckinHold is how long an answer waits for a commit already on its way
+	// that would add orders to it; the worker waits 4 s.
+	CheckinHold = 350 * time.Millisecond
+	// Silent is the silence after which a machine counts as lost, if most
+	// others of its owner still report.
+	Silent = 13 * time.Second
+	// TakeoverSilence is added after a change of owner: the workers first
+	// have to find the new one.
+	TakeoverSilence = 12 * time.Second
+	// HaltRepeat is the pause between direct halts to one machine.
+	HaltRepeat = 2 * time.Second
+	// RecallMargin is kept free of a recall's time when tasks are told to save.
+	RecallMargin = 1500 * time.Millisecond
+	// SickErrors in a row on one machine, by different jobs where there are
+	// several, mean a sick machine.
+	SickErrors = 2
+	// ErrorPause is the first pause of a job after an error; it doubles.
+	ErrorPause = 1 * time.Second
+	// ErrorPauseMost bounds it.
+	ErrorPauseMost = 45 * time.Second
+	// RefusedPause keeps a machine that refused for lack of room unbooked.
+	RefusedPause = 2 * time.Second
+)
+
+// Placement and learning; the starting values of DESIGN.
+const (
+	// Tick drives the core when nothing else does.
+	Tick = 100 * time.Millisecond
+	// DrawEvery refreshes the draws' view of other parts.
+	DrawEvery = 2 * time.Second
+	// Window is the learning window: weights are updated at its end.
+	Window = 10 * time.Second
+	// ConsensusEvery windows the critics are averaged (C).
+	ConsensusEvery = 5
+	// Gamma discounts payoffs from window to window.
+	Gamma = 0.9
+	// CriticRate and ActorRate are the steps of the temporal difference.
+	CriticRate = 0.01
+	ActorRate  = 0.01
+	// PassCost in seconds of imbalance per pass.
+	PassCost = 1.0
+	// LoadWeight is the starting weight of a target's own load, per second.
+	LoadWeight = -1.0
+	// LoadScale turns seconds of load into features of order one for the
+	// critic, so that fixed rates stay stable.
+	LoadScale = 0.01
+	// WeightBound: weights beyond it are runaway and reset.
+	WeightBound = 20.0
+	// RateSmooth is the weight of a new finish in the smoothed run time.
+	RateSmooth = 0.2
+	// SeedRun in seconds is the run time assumed where nothing is estimated.
+	SeedRun = 60.0
+	// QueuedPerJob bounds a job's tasks in machine queues at one time.
+	QueuedPerJob = 128
+	// LargeJob is the number of tasks from which the leader places a job.
+	LargeJob = 1000
+	// QueueAhead in seconds of expected delay is how far queues reach before
+	// tasks rather wait unplaced; new machines may then take them.
+	QueueAhead = 600.0
+	// HandoverMost bounds the tasks of one steal.
+	HandoverMost = 8
+	// GangHold is how long the leader keeps room for a gang that doesn't fit.
+	GangHold = 25 * time.Second
+)
+
+// Fleet.
+const (
+	// ListEvery is the pause between machine lists.
+	ListEvery = 4 * time.Second
+	// FleetEvery is the pause between decisions of the leader.
+	FleetEvery = 500 * time.Millisecond
+	// RentMost is the largest count of one rental, by the protocol.
+	RentMost = 50
+	// ReturnMost is the largest number of names in one return.
+	ReturnMost = 100
+	// NoCapacityPause is the first pause after a refused rental; doubles.
+	NoCapacityPause = 4 * time.Second
+	// NoCapacityMost bounds it.
+	NoCapacityMost = 20 * time.Second
+	// BootPatience times BootS is when a machine that still boots is given up.
+	BootPatience = 3.0
+	// IdleKeep is how long an idle machine is kept.
+	IdleKeep = 45 * time.Second
+	// IdleKeepWhole is how long an idle machine is kept whose type serves
+	// tasks that need all of it and therefore can't share another.
+	IdleKeepWhole = 120 * time.Second
+	// MinHeld is the least time that is charged; earlier returns save nothing.
+	MinHeld = 60 * time.Second
+	// FlavorsEvery refreshes prices.
+	FlavorsEvery = 60 * time.Second
+	// WaitPerRent in seconds: expected waits over it count as lack of machines.
+	WaitPerRent = 12.0
+)
+
+// Peers and connections.
+const (
+	// PeerQueue bounds the frames waiting for one peer; older news is stale.
+	PeerQueue = 8
+	// PeerTimeout ends a connect or write to a peer.
+	PeerTimeout = time.Second
+	// PeerRetry is the pause after a failed one.
+	PeerRetry = 500 * time.Millisecond
+	// PeerIdle closes a link that says nothing.
+	PeerIdle = 15 * time.Second
+	// IdleConn is how long an idle client connection is trusted.
+	IdleConn = 8 * time.Second
+	// ClientConns bounds the connections of one client at a time.
+	ClientConns = 8
+	// DirectTimeout ends a direct order to a worker.
+	DirectTimeout = 2 * time.Second
+	// DirectAtOnce bounds direct orders under way.
+	DirectAtOnce = 16
+	// MemoryShare of the machine's memory is the collector's soft limit.
+	MemoryShare = 0.55
+)
+
+// Spare is how many machines are kept ready for a class whose tasks should
+// start sooner than a machine boots; the operators' file may change it.
+const Spare = 1
+
+// Process.
+const (
+	// GCPercent trades memory, which is ample, for collector time, which isn't.
+	GCPercent = 300
+	// AskPatience ends a request that the loop did not answer; workers drop
+	// answers after 4 s, so nothing later is of use to them.
+	AskPatience = 3500 * time.Millisecond
+)
