--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -108,9 +108,10 @@
 	if err := faults(s); err != nil {
 		return nil, err
 	}
-	w := s.Params.Workers
-	if need := tuning.Fence.Seconds() + w.LeaseS*1.001 + tuning.DriftMargin.Seconds(); need >= w.CancelS {
-		return nil, fmt.Errorf("params.workers.cancel_s: %g s is too short: fence, lease_s and margins take %.1f s", w.CancelS, need)
+	if f := s.fence(); f < tuning.FenceLeast {
+		w := s.Params.Workers
+		return nil, fmt.Errorf("params.workers.cancel_s: %g s leaves %.1f s besides lease_s (%g s) and margins; at least %.1f s are needed",
+			w.CancelS, f.Seconds(), w.LeaseS, tuning.FenceLeast.Seconds())
 	}
 	return s, nil
 }
@@ -141,6 +142,13 @@
 	return o, faults(o)
 }
 
+// fence is the longest time that a node may act on one confirmation, so that
+// a cancelled task is gone in time even if its node was cut off just then.
+func (s *Settings) fence() time.Duration {
+	w := s.Params.Workers
+	return min(tuning.Fence, secs(w.CancelS-w.LeaseS*1.001)-tuning.DriftMargin-tuning.FenceMargin)
+}
+
 func secs(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
 func milli(x float64) int64 { return int64(x*1000 + 0.5) }
@@ -152,7 +160,7 @@
 		Node: s.Member, Zone: s.Domain, Nodes: []string{s.Member}, Teams: map[string]core.Limits{}, Zones: p.Zones,
 		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
 		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
-		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Wait: map[string]float64{}, Spare: tuning.Spare, Learn: true,
+		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Spare: tuning.Spare, Learn: true,
 	}
 	for _, m := range s.Members {
 		c.Nodes = append(c.Nodes, m.Member)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -268,8 +268,8 @@
 // reached what they saw, and the view has it as this incarnation.
 func (c *Core) fenceOK() bool {
 	return c.synced && c.st.view != nil && c.st.view.Members[c.cfg.Node] == c.inc &&
-		c.fenceAt >= 0 && c.now-c.fenceAt < tuning.Fence &&
-		c.grantAt >= 0 && c.now-c.grantAt < tuning.Fence
+		c.fenceAt >= 0 && c.now-c.fenceAt < c.cfg.Fence &&
+		c.grantAt >= 0 && c.now-c.grantAt < c.cfg.Fence
 }
 
 func (c *Core) driveConfirm() {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -331,7 +331,7 @@
 
 // leaseOver tells whether no one can have renewed m's lease since too long.
 func (c *Core) leaseOver(m *Machine) bool {
-	from := max(m.ownSince+tuning.Fence, m.last200)
+	from := max(m.ownSince+c.cfg.Fence, m.last200)
 	lease := c.cfg.Lease + c.cfg.Lease/1000
 	return c.now > from+lease+tuning.DriftMargin
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -180,6 +180,7 @@
 	Lease   time.Duration
 	Cancel  time.Duration
 	Peer    time.Duration // gang_peer_s
+	Fence   time.Duration // age of a confirmation up to which the node acts
 	ValueB  int
 	TxnOps  int
 	ListLag time.Duration
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -11,6 +11,10 @@
 	// a node still answers check-ins with 200. Together with lease_s and the
 	// margins it must stay under cancel_s; config refuses settings where not.
 	Fence = 7 * time.Second
+	// FenceLeast is the shortest fence that leaves room for a retry.
+	FenceLeast = 2 * time.Second
+	// FenceMargin covers an answer's way to the worker.
+	FenceMargin = 300 * time.Millisecond
 	// ConfirmEvery is the pause between confirmations when no reader asks;
 	// several fit into Fence, so that one lost request costs nothing.
 	ConfirmEvery = 1200 * time.Millisecond
