--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,7 +160,7 @@
 		Node: s.Member, Zone: s.Domain, Nodes: []string{s.Member}, Teams: map[string]core.Limits{}, Zones: p.Zones,
 		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
 		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
-		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Spare: tuning.Spare, Learn: true,
+		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: tuning.Spare, Learn: true,
 	}
 	for _, m := range s.Members {
 		c.Nodes = append(c.Nodes, m.Member)
@@ -173,10 +173,21 @@
 		}
 	}
 	for _, x := range p.Objectives {
-		if x.Kind == "wait" && x.Class != "" {
+		switch x.Kind {
+		case "wait":
 			c.Wait[x.Class] = x.WithinS
+		case "finished":
+			c.Goals[x.Class] = append(c.Goals[x.Class], x.WithinS)
+		case "deadline":
+			if x.Times > 0 && !slices.Contains(c.Dues, x.Times) {
+				c.Dues = append(c.Dues, x.Times)
+			}
 		}
 	}
+	slices.Sort(c.Dues)
+	for _, g := range c.Goals {
+		slices.Sort(g)
+	}
 	if o != nil {
 		if o.Learn != nil {
 			c.Learn = *o.Learn
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,6 +76,9 @@
 	give    []TaskID // tasks to hand over, with c.giveTo
 	giveTo  map[TaskID]string
 	runs    map[string]*runStat
+	booked  map[TaskID]time.Duration // when a booking was first seen
+	stayed  map[TaskID]bool          // drew to wait in this part
+	poolRun float64                  // run time of the unplaced tasks, s
 
 	planMach map[string]bool // machines that the task commit in flight concerns
 	marking  map[string]bool // marks on their way
@@ -111,6 +114,7 @@
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
 		held: map[uint64]*heldCheckin{}, peers: map[string]*peerView{},
 		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
+		booked: map[TaskID]time.Duration{}, stayed: map[TaskID]bool{},
 	}
 	c.fleet.init()
 	c.learn.init(cfg.Node)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -38,6 +38,7 @@
 	returning bool
 	backoff   time.Duration
 	hold      map[string]bool
+	evict     map[string]bool
 	idle      map[string]time.Duration
 	decideAt  time.Duration
 	flavAt    time.Duration
@@ -61,7 +62,7 @@
 	n := f.hireN
 	*f = fleet{
 		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
-		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{},
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{},
 		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
 	}
 }
@@ -323,10 +324,13 @@
 	return l
 }
 
-// decideHolds keeps idle machines for jobs that need a whole one.
+// decideHolds keeps machines for jobs that need a whole one: idle ones first;
+// if more jobs wait than are idle, those that will be empty soonest, and where
+// all that runs there has lower priority, they are emptied.
 func (c *Core) decideHolds() {
 	f := &c.fleet
-	f.hold = map[string]bool{}
+	old := f.hold
+	f.hold, f.evict = map[string]bool{}, map[string]bool{}
 	pend := c.pending()
 	ms := c.machines()
 	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
@@ -335,22 +339,59 @@
 			delete(f.wholeSeen, class)
 			continue
 		}
-		n := c.spare(w.sp)
+		waiting := 0
 		for _, p := range pend {
 			if p.sp.Class == class && whole(p.sp) {
-				n += p.n
+				waiting += p.n
 			}
 		}
-		var cand []known
+		n := waiting + c.spare(w.sp)
+		type cand struct {
+			k    known
+			wait float64
+			low  bool // all on it has lower priority
+		}
+		var cs []cand
 		for _, k := range ms {
 			fl := c.flavor(k.Type)
-			if k.up && k.mark.State == "" && c.fits(w.sp, k.Type, k.Zone, k.Spot) && fl.Size.Holds(w.sp.Need) &&
-				!f.hold[k.Name] && k.busy == 0 {
-				cand = append(cand, k)
+			if !k.up || k.mark.State != "" || f.hold[k.Name] || !c.fits(w.sp, k.Type, k.Zone, k.Spot) || !fl.Size.Holds(w.sp.Need) {
+				continue
+			}
+			x := cand{k: k, low: true}
+			ok := true
+			for id := range c.st.byMach[k.Name] {
+				sp := c.st.jobs[id.Job].H.Spec
+				if sp == nil || whole(sp) || sp.Shape == Service {
+					ok = false
+					break
+				}
+				x.low = x.low && sp.Prio < w.sp.Prio
+				left := c.runTime(sp) - (c.now - c.booked[id]).Seconds()
+				x.wait = max(x.wait, left, 3)
+			}
+			if old[k.Name] {
+				x.wait -= tuning.HoldBonus
+			}
+			if ok {
+				cs = append(cs, x)
 			}
 		}
-		for i := 0; i < len(cand) && i < n; i++ {
-			f.hold[cand[i].Name] = true
+		sort.SliceStable(cs, func(a, b int) bool { return cs[a].wait < cs[b].wait })
+		idle := 0
+		for _, x := range cs {
+			if len(f.hold) >= n {
+				break
+			}
+			if x.k.busy > 0 && idle >= waiting && !x.low {
+				break
+			}
+			f.hold[x.k.Name] = true
+			if x.k.busy == 0 {
+				idle++
+			} else if x.low && idle < n {
+				f.evict[x.k.Name] = true
+				idle++
+			}
 		}
 	}
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -240,7 +240,7 @@
 		if s, ok := m.tasks[id]; ok && s.Attempt == t.Attempt {
 			continue
 		}
-		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] || m.recallAt >= 0 || !c.gangWhole(j, t) {
+		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] || m.recallAt >= 0 || c.evicted(m.Name) && !whole(j.H.Spec) || !c.gangWhole(j, t) {
 			continue
 		}
 		m.sent[k] = tally
@@ -263,6 +263,9 @@
 	}
 	mark := c.st.marks[m.Name]
 	switch {
+	case c.evicted(m.Name) && !whole(sp):
+		o.Leeway = sp.Save + 2
+		return o, s.State != SeenSaving
 	case m.recallAt >= 0:
 		left := (m.recallAt - c.now - tuning.RecallMargin).Seconds()
 		if s.State == SeenSaving {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -17,6 +17,7 @@
 	load     float64
 	machines []PeerMachine
 	holds    map[string]bool
+	evict    map[string]bool
 }
 
 func (c *Core) onPeer(e EvPeer) {
@@ -25,10 +26,13 @@
 		c.onSteal(e.From, m.Steal)
 		return
 	}
-	p := &peerView{at: c.now, epoch: m.Epoch, load: m.Load, machines: m.Machines, holds: map[string]bool{}}
+	p := &peerView{at: c.now, epoch: m.Epoch, load: m.Load, machines: m.Machines, holds: map[string]bool{}, evict: map[string]bool{}}
 	for _, h := range m.Holds {
 		p.holds[h] = true
 	}
+	for _, h := range m.Evict {
+		p.evict[h] = true
+	}
 	c.peers[e.From] = p
 	c.dirty = true
 }
@@ -50,6 +54,18 @@
 	return p != nil && c.now-p.at < tuning.GangHold && p.holds[name]
 }
 
+// evicted: the leader wants the machine emptied for work of higher priority.
+func (c *Core) evicted(name string) bool {
+	if c.isLeader() {
+		return c.fleet.evict[name]
+	}
+	if c.st.view == nil {
+		return false
+	}
+	p := c.peers[c.st.view.Leader]
+	return p != nil && c.now-p.at < 3*tuning.DrawEvery && p.evict[name]
+}
+
 // unplace takes a task off the queue it is in, if any.
 func (c *Core) unplace(id TaskID) {
 	if _, ok := c.placed[id]; !ok {
@@ -154,7 +170,7 @@
 	if n == 0 {
 		return 0
 	}
-	return s / float64(n)
+	return (s + c.poolRun) / float64(n)
 }
 
 // choice is a target of a draw.
@@ -211,21 +227,23 @@
 	for _, m := range mine {
 		loads[m.Name] = c.load(m)
 	}
-	for _, j := range c.st.open {
-		if j.nQ == 0 || j.queued >= min(j.nQ, tuning.QueuedPerJob) || whole(j.H.Spec) || int64(c.now) < j.hold {
-			continue
-		}
+	c.poolRun = 0
+	for _, j := range c.byUrgency() {
 		if j.Tasks == nil && c.partOf(j, Task{}) != c.cfg.Node {
 			continue
 		}
+		full := false
 		for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
 			id := TaskID{j.ID, i}
 			t := j.task(i)
 			if t.State != Queued || c.placed[id] != "" || c.giveTo[id] != "" || c.partOf(j, t) != c.cfg.Node {
 				continue
 			}
-			if !c.place(j, id, t, mine, loads) {
-				break
+			if full || !c.place(j, id, t, mine, loads) {
+				full = true
+				if f := c.anyFlavor(j.H.Spec); f != nil {
+					c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
+				}
 			}
 		}
 	}
@@ -236,6 +254,93 @@
 	}
 }
 
+func (c *Core) queueLen(m *Machine) int {
+	n := 0
+	for _, id := range m.queue {
+		if c.placed[id] == m.Name {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) anyFlavor(sp *Spec) *Flavor {
+	for i := range c.st.flavors {
+		if c.typeFits(sp, &c.st.flavors[i]) {
+			return &c.st.flavors[i]
+		}
+	}
+	return nil
+}
+
+// byUrgency orders the open jobs that parts place: what a team is owed first,
+// then priority, then jobs that can still meet an aim, the least slack first;
+// those past all their aims come last, in order of arrival.
+func (c *Core) byUrgency() []*Job {
+	type item struct {
+		j    *Job
+		owed bool
+		tier int
+		key  float64
+	}
+	var l []item
+	before := map[string]Res{}
+	for _, j := range c.st.open {
+		sp := j.H.Spec
+		lim := c.cfg.Teams[sp.Team].Guar
+		all := before[sp.Team].Plus(sp.Need, int64(j.H.N-j.nD))
+		owed := lim != (Res{}) && within(all, lim)
+		before[sp.Team] = all
+		if j.nQ == 0 || j.queued >= min(j.nQ, tuning.QueuedPerJob) || whole(sp) || int64(c.now) < j.hold {
+			continue
+		}
+		x := item{j: j, owed: owed}
+		x.tier, x.key = c.tier(j)
+		l = append(l, x)
+	}
+	sort.SliceStable(l, func(a, b int) bool {
+		x, y := l[a], l[b]
+		if x.owed != y.owed {
+			return x.owed
+		}
+		if x.j.H.Spec.Prio != y.j.H.Spec.Prio {
+			return x.j.H.Spec.Prio > y.j.H.Spec.Prio
+		}
+		if x.tier != y.tier {
+			return x.tier < y.tier
+		}
+		return x.key < y.key
+	})
+	js := make([]*Job, len(l))
+	for i := range l {
+		js[i] = l[i].j
+	}
+	return js
+}
+
+// tier is the first aim that a job can still meet, and its slack in seconds.
+func (c *Core) tier(j *Job) (int, float64) {
+	sp := j.H.Spec
+	age := (c.now - time.Duration(j.seenAt)).Seconds()
+	need := c.runTime(sp)
+	var goals []float64
+	if sp.Due > 0 {
+		for _, x := range c.cfg.Dues {
+			goals = append(goals, sp.Due*x)
+		}
+	}
+	goals = append(goals, c.cfg.Goals[sp.Class]...)
+	for i, g := range goals {
+		if slack := g - age - need; slack >= 0 {
+			return i, slack
+		}
+	}
+	if len(goals) == 0 {
+		return 0, -age
+	}
+	return len(goals), -age
+}
+
 // place draws the target of one arrival. False: nothing can take it now.
 func (c *Core) place(j *Job, id TaskID, t Task, mine []*Machine, loads map[string]float64) bool {
 	sp := j.H.Spec
@@ -245,6 +350,11 @@
 		if !c.fits(sp, m.Type, m.Zone, m.Spot) || !f.Size.Holds(sp.Need) {
 			continue
 		}
+		// Queues are small: what can't start soon waits in the part's pool,
+		// where the order can still change.
+		if int64(c.queueLen(m)) >= c.free(m.Name, f.Size, nil).Times(sp.Need, 64)+tuning.QueueDepth {
+			continue
+		}
 		x := choice{name: m.Name, load: loads[m.Name], m: m}
 		if _, ok := m.images[sp.Image]; !ok && f.Fetch > 0 {
 			x.cost = sp.ImageGB / f.Fetch
@@ -252,7 +362,10 @@
 		cs = append(cs, x)
 	}
 	// A task is passed once at most, so that it can't wander.
-	if t.Part == "" {
+	if t.Part == "" && !c.stayed[id] {
+		if len(cs) == 0 {
+			cs = append(cs, choice{name: c.cfg.Node, load: c.meanLoad()})
+		}
 		for _, n := range c.st.view.Serving {
 			p := c.peers[n]
 			if n == c.cfg.Node || p == nil || c.now-p.at > 3*tuning.DrawEvery {
@@ -273,6 +386,10 @@
 	if k < 0 {
 		return false
 	}
+	if cs[k].name == c.cfg.Node {
+		c.stayed[id] = true
+		return false
+	}
 	if cs[k].m == nil {
 		c.giveTo[id] = cs[k].name
 		c.dirty = true
@@ -514,6 +631,7 @@
 	}
 	if c.isLeader() {
 		msg.Holds = slices.Sorted(maps.Keys(c.fleet.hold))
+		msg.Evict = slices.Sorted(maps.Keys(c.fleet.evict))
 	}
 	for _, n := range c.cfg.Nodes {
 		if n != c.cfg.Node {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -223,7 +223,8 @@
 			// An undelivered run is simply sent again, unless the booking
 			// has lost its sense.
 			if !there && !c.doomed[doom{id, t.Attempt}] && m.shift == t.Shift && m.deadShift < t.Shift && mark.State != MarkGone &&
-				j.H.State == JobOpen && m.recallAt < 0 && mark.State == "" && c.gangWhole(j, t) {
+				j.H.State == JobOpen && m.recallAt < 0 && mark.State == "" && c.gangWhole(j, t) &&
+				!(c.evicted(name) && !whole(j.H.Spec)) {
 				continue
 			}
 			if !d.room(j, id.I, done) {
@@ -357,6 +358,7 @@
 		j  *Job
 		o  bool
 	}
+	resv := c.reserved()
 	for round := 0; round < 64; round++ {
 		var cs []cand
 		for _, name := range slices.Sorted(maps.Keys(c.mach)) {
@@ -375,7 +377,7 @@
 					continue
 				}
 				sp := j.H.Spec
-				if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max) {
+				if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1).Plus(resv[sp.Team], 1), c.cfg.Teams[sp.Team].Max) {
 					continue // waits for its team without blocking others
 				}
 				if !free.Holds(sp.Need) {
@@ -401,7 +403,7 @@
 		any := false
 		for _, x := range cs {
 			sp := x.j.H.Spec
-			if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max) {
+			if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1).Plus(resv[sp.Team], 1), c.cfg.Teams[sp.Team].Max) {
 				continue
 			}
 			if !d.room(x.j, x.id.I, false) {
@@ -422,6 +424,18 @@
 	}
 }
 
+// reserved is what waiting whole jobs claim of their teams' limits, so that
+// small tasks don't keep them out for ever.
+func (c *Core) reserved() map[string]Res {
+	r := map[string]Res{}
+	for _, j := range c.st.open {
+		if sp := j.H.Spec; j.nQ > 0 && whole(sp) && r[sp.Team] == (Res{}) && sp.Shape == Gang {
+			r[sp.Team] = Res{}.Plus(sp.Need, int64(sp.N))
+		}
+	}
+	return r
+}
+
 // planHandover writes the parts of tasks passed or stolen.
 func (c *Core) planHandover(d *draft) {
 	for _, id := range sortedTasks(c.giveTo) {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -101,6 +101,7 @@
 	count(t.State, 1)
 	if old.State == Booked {
 		delete(c.st.byMach[old.Machine], id)
+		delete(c.booked, id)
 		if len(c.st.byMach[old.Machine]) == 0 {
 			delete(c.st.byMach, old.Machine)
 		}
@@ -113,6 +114,8 @@
 			c.st.byMach[t.Machine] = m
 		}
 		m[id] = true
+		c.booked[id] = c.now
+		delete(c.stayed, id)
 		c.addSum(j, 1)
 	}
 	j.Tasks[i] = t
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -185,8 +185,10 @@
 	TxnOps  int
 	ListLag time.Duration
 	Seed    uint64
-	Wait    map[string]float64 // class -> seconds within which its tasks should start
-	Spare   int                // machines kept warm for such a class; operators may change it
+	Wait    map[string]float64   // class -> seconds within which its tasks should start
+	Goals   map[string][]float64 // class -> seconds within which its jobs should be done
+	Dues    []float64            // multiples of a deadline that count
+	Spare   int                  // machines kept warm for such a class; operators may change it
 	Learn   bool
 }
 
@@ -398,6 +400,7 @@
 	Load     float64 // mean load of the sender's machines, s
 	Machines []PeerMachine
 	Holds    []string // machines that the leader holds for whole jobs
+	Evict    []string // of these, the ones to be emptied for work of higher priority
 	Steal    *Steal
 }
 
--- a/internal/peer/fb/Message.go
+++ b/internal/peer/fb/Message.go
@@ -115,8 +115,25 @@
 	return nil
 }
 
+func (rcv *Message) Evict(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Message) EvictLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func MessageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func MessageAddFrom(builder *flatbuffers.Builder, from flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(from), 0)
@@ -142,6 +159,12 @@
 func MessageAddSteal(builder *flatbuffers.Builder, steal flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(steal), 0)
 }
+func MessageAddEvict(builder *flatbuffers.Builder, evict flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(evict), 0)
+}
+func MessageStartEvictVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func MessageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,7 +52,7 @@
 		fb.MachineAddImages(b, images)
 		ms[i] = fb.MachineEnd(b)
 	}
-	machines, holds := vector(ms), vector(str(m.Holds))
+	machines, holds, evict := vector(ms), vector(str(m.Holds)), vector(str(m.Evict))
 	var steal flatbuffers.UOffsetT
 	if s := m.Steal; s != nil {
 		typ, zone := b.CreateString(s.Type), b.CreateString(s.Zone)
@@ -73,6 +73,7 @@
 	fb.MessageAddLoad(b, m.Load)
 	fb.MessageAddMachines(b, machines)
 	fb.MessageAddHolds(b, holds)
+	fb.MessageAddEvict(b, evict)
 	if m.Steal != nil {
 		fb.MessageAddSteal(b, steal)
 	}
@@ -107,6 +108,9 @@
 	for i := 0; i < r.HoldsLength(); i++ {
 		m.Holds = append(m.Holds, string(r.Holds(i)))
 	}
+	for i := 0; i < r.EvictLength(); i++ {
+		m.Evict = append(m.Evict, string(r.Evict(i)))
+	}
 	if s := r.Steal(nil); s != nil {
 		m.Steal = &core.Steal{
 			Type: string(s.Type()), Zone: string(s.Zone()), Spot: s.Spot(), Most: int(s.Most()),
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -141,6 +141,9 @@
 	QueuedPerJob = 128
 	// LargeJob is the number of tasks from which the leader places a job.
 	LargeJob = 1000
+	// QueueDepth is how many tasks a machine's queue takes beyond those that
+	// fit at once; the rest is held back in the part's pool.
+	QueueDepth = 1
 	// QueueAhead in seconds of expected delay is how far queues reach before
 	// tasks rather wait unplaced; new machines may then take them.
 	QueueAhead = 600.0
@@ -156,6 +159,8 @@
 	ListEvery = 4 * time.Second
 	// FleetEvery is the pause between decisions of the leader.
 	FleetEvery = 500 * time.Millisecond
+	// HoldBonus in seconds favours machines already held over others.
+	HoldBonus = 10.0
 	// RentMost is the largest count of one rental, by the protocol.
 	RentMost = 50
 	// ReturnMost is the largest number of names in one return.
