--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -39,6 +39,7 @@
 	backoff   time.Duration
 	hold      map[string]bool
 	evict     map[string]bool
+	rest      map[string]bool // no new tasks: the cheaper machines suffice
 	idle      map[string]time.Duration
 	decideAt  time.Duration
 	flavAt    time.Duration
@@ -62,7 +63,7 @@
 	n := f.hireN
 	*f = fleet{
 		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
-		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{},
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, rest: map[string]bool{},
 		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
 	}
 }
@@ -91,6 +92,7 @@
 	if f.listed {
 		c.decideMarks()
 		c.decideHolds()
+		c.decideRest()
 		c.decideRents()
 	}
 }
@@ -335,7 +337,7 @@
 	ms := c.machines()
 	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
 		w := f.wholeSeen[class]
-		if c.now-w.at > 5*time.Minute {
+		if c.now-w.at > tuning.WholeMemory {
 			delete(f.wholeSeen, class)
 			continue
 		}
@@ -396,6 +398,73 @@
 	}
 }
 
+// decideRest lets the dearest machines run empty while the cheaper ones have
+// room for all that runs and waits, with some headroom: draws by load alone
+// would spread tasks over all machines, and none could ever be returned.
+func (c *Core) decideRest() {
+	f := &c.fleet
+	old := f.rest
+	f.rest = map[string]bool{}
+	type cand struct {
+		k     known
+		price float64
+	}
+	var cs []cand
+	var want Res
+	for _, k := range c.machines() {
+		if !k.up || k.mark.State != "" || f.hold[k.Name] {
+			continue
+		}
+		fl := c.flavor(k.Type)
+		gang := false
+		for id := range c.st.byMach[k.Name] {
+			sp := c.st.jobs[id.Job].H.Spec
+			if sp == nil {
+				continue
+			}
+			if whole(sp) {
+				gang = true
+				break
+			}
+			want = want.Plus(sp.Need, 1)
+		}
+		if gang {
+			continue
+		}
+		p := fl.Price
+		if k.Spot {
+			p = fl.Spot
+		}
+		size := float64(max(fl.Size.GPU, 1000))
+		if fl.Size.GPU == 0 {
+			size = float64(max(fl.Size.CPU, 1000))
+		}
+		p /= size
+		if old[k.Name] {
+			p *= tuning.RestSticky
+		}
+		cs = append(cs, cand{k, p})
+	}
+	n := 0
+	for _, p := range c.pending() {
+		if !whole(p.sp) {
+			want = want.Plus(p.sp.Need, int64(p.n))
+			n++
+		}
+	}
+	grow := func(x int64) int64 { return x + x*tuning.HeadroomPercent/100 }
+	want = Res{grow(want.CPU), grow(want.GPU), grow(want.Mem)}
+	sort.SliceStable(cs, func(a, b int) bool { return cs[a].price < cs[b].price })
+	var have Res
+	for _, x := range cs {
+		if have.Holds(want) && n == 0 {
+			f.rest[x.k.Name] = true
+			continue
+		}
+		have = have.Plus(c.flavor(x.k.Type).Size, 1)
+	}
+}
+
 // spare is how many machines are kept ready for a class whose tasks should
 // start sooner than a machine boots.
 func (c *Core) spare(sp *Spec) int {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -45,7 +45,7 @@
 // kept: the leader holds the machine for whole jobs; parts queue nothing on it.
 func (c *Core) kept(name string) bool {
 	if c.isLeader() {
-		return c.fleet.hold[name]
+		return c.fleet.hold[name] || c.fleet.rest[name]
 	}
 	if c.st.view == nil {
 		return false
@@ -630,7 +630,9 @@
 		})
 	}
 	if c.isLeader() {
-		msg.Holds = slices.Sorted(maps.Keys(c.fleet.hold))
+		both := maps.Clone(c.fleet.hold)
+		maps.Copy(both, c.fleet.rest)
+		msg.Holds = slices.Sorted(maps.Keys(both))
 		msg.Evict = slices.Sorted(maps.Keys(c.fleet.evict))
 	}
 	for _, n := range c.cfg.Nodes {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -159,6 +159,14 @@
 	ListEvery = 4 * time.Second
 	// FleetEvery is the pause between decisions of the leader.
 	FleetEvery = 500 * time.Millisecond
+	// WholeMemory is how long after its last job a class of whole jobs still
+	// has machines kept for it.
+	WholeMemory = 150 * time.Second
+	// RestSticky raises the price of a resting machine in comparisons, so that
+	// machines don't take turns.
+	RestSticky = 1.2
+	// HeadroomPercent of what runs is kept free on top before machines rest.
+	HeadroomPercent = 25
 	// HoldBonus in seconds favours machines already held over others.
 	HoldBonus = 10.0
 	// RentMost is the largest count of one rental, by the protocol.
