--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -445,11 +445,9 @@
 		}
 		cs = append(cs, cand{k, p})
 	}
-	n := 0
 	for _, p := range c.pending() {
 		if !whole(p.sp) {
 			want = want.Plus(p.sp.Need, int64(p.n))
-			n++
 		}
 	}
 	grow := func(x int64) int64 { return x + x*tuning.HeadroomPercent/100 }
@@ -457,7 +455,7 @@
 	sort.SliceStable(cs, func(a, b int) bool { return cs[a].price < cs[b].price })
 	var have Res
 	for _, x := range cs {
-		if have.Holds(want) && n == 0 {
+		if have.Holds(want) {
 			f.rest[x.k.Name] = true
 			continue
 		}
