--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -271,6 +271,9 @@
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
 		case k.up && k.busy == 0 && age > tuning.MinHeld:
 			keep := tuning.IdleKeep
+			if k.Spot {
+				keep = tuning.IdleKeepSpot
+			}
 			if f.hold[k.Name] {
 				keep = tuning.IdleKeepWhole
 			}
@@ -517,6 +520,15 @@
 	}
 	// Whole machines first: small tasks find room in what is left.
 	sort.SliceStable(pend, func(a, b int) bool { return whole(pend[a].sp) && !whole(pend[b].sp) })
+	// Slots that fall free before a new machine could start a task need no
+	// new machine.
+	busy := 0
+	for _, s := range slots {
+		if s.k.up && !f.hold[s.k.Name] {
+			busy += s.k.busy
+		}
+	}
+	credit := int(float64(busy) * tuning.TurnoverCredit)
 	for _, p := range pend {
 	tasks:
 		for i := 0; i < p.n; i++ {
@@ -533,6 +545,10 @@
 					continue tasks
 				}
 			}
+			if !whole(p.sp) && credit > 0 {
+				credit--
+				continue
+			}
 			o, ok := c.cheapest(p.sp, p.n-i)
 			if !ok {
 				break
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -180,7 +180,12 @@
 	// BootPatience times BootS is when a machine that still boots is given up.
 	BootPatience = 3.0
 	// IdleKeep is how long an idle machine is kept.
-	IdleKeep = 45 * time.Second
+	IdleKeep = 20 * time.Second
+	// IdleKeepSpot is the same for spot machines, whose price is a fraction.
+	IdleKeepSpot = 60 * time.Second
+	// TurnoverCredit is the share of the busy slots that counts as room: they
+	// fall free before a new machine has booted and fetched its image.
+	TurnoverCredit = 0.3
 	// IdleKeepWhole is how long an idle machine is kept whose type serves
 	// tasks that need all of it and therefore can't share another.
 	IdleKeepWhole = 120 * time.Second
