--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -178,6 +178,8 @@
 			c.Wait[x.Class] = x.WithinS
 		case "finished":
 			c.Goals[x.Class] = append(c.Goals[x.Class], x.WithinS)
+		case "guarantee":
+			c.GuarWait = x.WithinS
 		case "deadline":
 			if x.Times > 0 && !slices.Contains(c.Dues, x.Times) {
 				c.Dues = append(c.Dues, x.Times)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -196,7 +196,8 @@
 		delete(c.subs, e.ID)
 		switch r {
 		case Committed:
-			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part)
+			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part,
+				"team", e.Spec.Team, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
 			if j := c.st.jobs[e.ID]; j != nil {
 				c.say(e.Req, 201, j)
 			}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -274,30 +274,33 @@
 }
 
 // byUrgency orders the open jobs that parts place: what a team is owed first,
-// then priority, then jobs that can still meet an aim, the least slack first;
-// those past all their aims come last, in order of arrival.
+// then priority, then such that as many jobs as can be meet their aims.
 func (c *Core) byUrgency() []*Job {
-	type item struct {
-		j    *Job
-		owed bool
-		tier int
-		key  float64
-	}
-	var l []item
+	var l []*urgent
 	before := map[string]Res{}
 	for _, j := range c.st.open {
 		sp := j.H.Spec
 		lim := c.cfg.Teams[sp.Team].Guar
 		all := before[sp.Team].Plus(sp.Need, int64(j.H.N-j.nD))
-		owed := lim != (Res{}) && within(all, lim)
+		age := (c.now - time.Duration(j.seenAt)).Seconds()
+		owed := lim != (Res{}) && within(all, lim) && age <= c.cfg.GuarWait
 		before[sp.Team] = all
-		if j.nQ == 0 || j.queued >= min(j.nQ, tuning.QueuedPerJob) || whole(sp) || int64(c.now) < j.hold {
+		if j.nQ == 0 || whole(sp) || int64(c.now) < j.hold {
 			continue
 		}
-		x := item{j: j, owed: owed}
-		x.tier, x.key = c.tier(j)
+		x := &urgent{j: j, owed: owed, run: c.runTime(sp)}
+		x.work = float64(j.nQ) * x.run / c.slots(sp)
+		if sp.Due > 0 {
+			for _, k := range c.cfg.Dues {
+				x.goals = append(x.goals, sp.Due*k-age)
+			}
+		}
+		for _, g := range c.cfg.Goals[sp.Class] {
+			x.goals = append(x.goals, g-age)
+		}
 		l = append(l, x)
 	}
+	assignTiers(l)
 	sort.SliceStable(l, func(a, b int) bool {
 		x, y := l[a], l[b]
 		if x.owed != y.owed {
@@ -309,36 +312,97 @@
 		if x.tier != y.tier {
 			return x.tier < y.tier
 		}
-		return x.key < y.key
+		return x.left() < y.left()
 	})
-	js := make([]*Job, len(l))
-	for i := range l {
-		js[i] = l[i].j
+	js := make([]*Job, 0, len(l))
+	for _, x := range l {
+		if x.j.queued < min(x.j.nQ, tuning.QueuedPerJob) {
+			js = append(js, x.j)
+		}
 	}
 	return js
 }
 
-// tier is the first aim that a job can still meet, and its slack in seconds.
-func (c *Core) tier(j *Job) (int, float64) {
-	sp := j.H.Spec
-	age := (c.now - time.Duration(j.seenAt)).Seconds()
-	need := c.runTime(sp)
-	var goals []float64
-	if sp.Due > 0 {
-		for _, x := range c.cfg.Dues {
-			goals = append(goals, sp.Due*x)
+// urgent is a job in the order of a pool.
+type urgent struct {
+	j     *Job
+	owed  bool
+	run   float64   // s a task
+	work  float64   // s of the whole fleet
+	goals []float64 // s left until each aim
+	tier  int       // the aim it is put down for; len(goals): none
+}
+
+// left is the time until the aim the job is put down for; jobs beyond all
+// their aims go by work, the least first.
+func (x *urgent) left() float64 {
+	if x.tier < len(x.goals) {
+		return x.goals[x.tier]
+	}
+	return x.work
+}
+
+// assignTiers puts each job down for the first aim that it can meet beside the
+// others: in order of time left, and whenever one would be late, the job with
+// the most work is moved on to its next aim (Moore and Hodgson's rule).
+func assignTiers(l []*urgent) {
+	most := 0
+	for _, x := range l {
+		most = max(most, len(x.goals))
+	}
+	t0 := 0.0
+	for tier := 0; tier < most; tier++ {
+		var at []*urgent
+		for _, x := range l {
+			if x.tier == tier && tier < len(x.goals) {
+				at = append(at, x)
+			}
+		}
+		sort.SliceStable(at, func(a, b int) bool { return at[a].left() < at[b].left() })
+		t := t0
+		var in []*urgent
+		for _, x := range at {
+			if x.run > x.goals[tier] {
+				x.tier++ // too late even alone
+				continue
+			}
+			in = append(in, x)
+			t += x.work
+			if t+x.run > x.goals[tier] {
+				k := 0
+				for i := range in {
+					if in[i].work > in[k].work {
+						k = i
+					}
+				}
+				t -= in[k].work
+				in[k].tier++
+				in = append(in[:k], in[k+1:]...)
+			}
 		}
+		t0 = t
 	}
-	goals = append(goals, c.cfg.Goals[sp.Class]...)
-	for i, g := range goals {
-		if slack := g - age - need; slack >= 0 {
-			return i, slack
+}
+
+// slots is how many tasks like this the machines heard of can run at once.
+func (c *Core) slots(sp *Spec) float64 {
+	n := int64(0)
+	for name, m := range c.mach {
+		if f := c.flavor(m.Type); f != nil && c.owns(name) && c.bookable(m) && c.fits(sp, m.Type, m.Zone, m.Spot) {
+			n += f.Size.Times(sp.Need, 64)
 		}
 	}
-	if len(goals) == 0 {
-		return 0, -age
+	for _, p := range c.peers {
+		if c.now-p.at > 4*tuning.DrawEvery {
+			continue
+		}
+		for _, m := range p.machines {
+			if f := c.flavor(m.Type); f != nil && !m.Recall && c.fits(sp, m.Type, m.Zone, m.Spot) {
+				n += f.Size.Times(sp.Need, 64)
+			}
+		}
 	}
-	return len(goals), -age
+	return float64(max(n, 1))
 }
 
 // place draws the target of one arrival. False: nothing can take it now.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -358,7 +358,7 @@
 		j  *Job
 		o  bool
 	}
-	resv := c.reserved()
+	claims := c.claims()
 	for round := 0; round < 64; round++ {
 		var cs []cand
 		for _, name := range slices.Sorted(maps.Keys(c.mach)) {
@@ -377,7 +377,7 @@
 					continue
 				}
 				sp := j.H.Spec
-				if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1).Plus(resv[sp.Team], 1), c.cfg.Teams[sp.Team].Max) {
+				if !c.teamAllows(sp, d, claims) {
 					continue // waits for its team without blocking others
 				}
 				if !free.Holds(sp.Need) {
@@ -403,7 +403,7 @@
 		any := false
 		for _, x := range cs {
 			sp := x.j.H.Spec
-			if !within(d.teamUsed(sp.Team).Plus(sp.Need, 1).Plus(resv[sp.Team], 1), c.cfg.Teams[sp.Team].Max) {
+			if !c.teamAllows(sp, d, claims) {
 				continue
 			}
 			if !d.room(x.j, x.id.I, false) {
@@ -424,18 +424,60 @@
 	}
 }
 
-// reserved is what waiting whole jobs claim of their teams' limits, so that
-// small tasks don't keep them out for ever.
-func (c *Core) reserved() map[string]Res {
-	r := map[string]Res{}
+// claim is what waiting whole jobs want of their team's limit.
+type claim struct {
+	unit  Res // one job
+	jobs  int // waiting
+	whole Res // booked by whole jobs
+}
+
+func (c *Core) claims() map[string]claim {
+	r := map[string]claim{}
 	for _, j := range c.st.open {
-		if sp := j.H.Spec; j.nQ > 0 && whole(sp) && r[sp.Team] == (Res{}) && sp.Shape == Gang {
-			r[sp.Team] = Res{}.Plus(sp.Need, int64(sp.N))
+		sp := j.H.Spec
+		if !whole(sp) {
+			continue
 		}
+		x := r[sp.Team]
+		if j.nQ > 0 && sp.Shape == Gang {
+			if x.jobs == 0 {
+				x.unit = Res{}.Plus(sp.Need, int64(sp.N))
+			}
+			x.jobs++
+		}
+		x.whole = x.whole.Plus(sp.Need, int64(j.nB))
+		r[sp.Team] = x
 	}
 	return r
 }
 
+// teamAllows tells whether a small task may start within its team's limit: it
+// must fit, and must not take the room that a waiting whole job needs. What no
+// whole job can use, small tasks may.
+func (c *Core) teamAllows(sp *Spec, d *draft, claims map[string]claim) bool {
+	lim, used := c.cfg.Teams[sp.Team].Max, d.teamUsed(sp.Team)
+	if !within(used.Plus(sp.Need, 1), lim) {
+		return false
+	}
+	x := claims[sp.Team]
+	if x.jobs == 0 || whole(sp) {
+		return true
+	}
+	fit := func(small Res) int64 {
+		room := Res{math.MaxInt32, math.MaxInt32, math.MaxInt32}
+		if lim.CPU > 0 {
+			room.CPU = lim.CPU - small.CPU
+		}
+		if lim.GPU > 0 {
+			room.GPU = lim.GPU - small.GPU
+		}
+		return room.Times(x.unit, 1000)
+	}
+	small := used.Plus(x.whole, -1)
+	want := x.whole.Times(x.unit, 1000) + int64(x.jobs)
+	return fit(small.Plus(sp.Need, 1)) >= min(want, fit(Res{}))
+}
+
 // planHandover writes the parts of tasks passed or stolen.
 func (c *Core) planHandover(d *draft) {
 	for _, id := range sortedTasks(c.giveTo) {
