--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,74 @@
+package api
+
+import (
+	"strings"
+	"testing"
+
+	"brassglade/internal/core"
+)
+
+const good = `{"NameId":"job-000412","Docket":"train","Crew":"vision","Shape":"group","Urgency":"urgent","Pieces":16,
+ "Cores":8.0,"Cards":1.0,"MemGb":64.0,"Kit":"img-07","PullGb":6.2,"Builds":["g8"],"Yard":null,"SamePlace":true,
+ "Apart":false,"Loaners":true,"ExpectS":240.0,"SnapshotS":30.0,"StowS":4.0,"DueS":900.0,"New":{"x":1}}`
+
+func TestSubmission(t *testing.T) {
+	id, s := ParseSubmission([]byte(good))
+	if id != "job-000412" || s == nil {
+		t.Fatalf("id %q, spec %v", id, s)
+	}
+	if s.Shape != core.Gang || s.Prio != 2 || s.N != 16 || s.Need != (core.Res{CPU: 8000, GPU: 1000, Mem: 64000}) ||
+		!s.OneZone || s.Spread || !s.Spot || s.Zone != "" || s.Due != 900 || len(s.Types) != 1 {
+		t.Errorf("spec %+v", s)
+	}
+	for name, change := range map[string][2]string{
+		"missing field":   {`"Docket":"train",`, ``},
+		"wrong type":      {`"Pieces":16`, `"Pieces":"16"`},
+		"no tasks":        {`"Pieces":16`, `"Pieces":0`},
+		"too many tasks":  {`"Pieces":16`, `"Pieces":100001`},
+		"part of a task":  {`"Pieces":16`, `"Pieces":1.5`},
+		"negative amount": {`"Cores":8.0`, `"Cores":-8.0`},
+		"not finite":      {`"MemGb":64.0`, `"MemGb":1e999`},
+		"unknown shape":   {`"group"`, `"ring"`},
+		"unknown urgency": {`"urgent"`, `"soon"`},
+		"null amount":     {`"ExpectS":240.0`, `"ExpectS":null`},
+		"null flag":       {`"Loaners":true`, `"Loaners":null`},
+	} {
+		id, s := ParseSubmission([]byte(strings.Replace(good, change[0], change[1], 1)))
+		if s != nil || id != "job-000412" {
+			t.Errorf("%s: id %q, accepted %v", name, id, s != nil)
+		}
+	}
+	for _, b := range []string{"", "[]", "null", "7", `{"NameId":7}`, `{"NameId":"JOB-1"}`, `{"NameId":"job-12x456"}`} {
+		if id, s := ParseSubmission([]byte(b)); id != "" || s != nil {
+			t.Errorf("%q: id %q, accepted %v", b, id, s != nil)
+		}
+	}
+}
+
+func TestReport(t *testing.T) {
+	r, ok := ParseReport([]byte(`{"Bracket":"n-000231","Address":"10.1.0.232:9000","Build":"g8","Yard":"a","Loaners":true,
+     "Shift":1,"Tally":88,"Baton":41,"RecallS":null,"Pieces":[{"Piece":"job-000412/3","Try":2,"Status":"running"},
+              {"Piece":"job-000398/0","Try":1,"Status":"ended","Cause":"no_such"}]}`))
+	if !ok || r.Machine != "n-000231" || r.Recall >= 0 || r.Baton != 41 || len(r.Tasks) != 2 ||
+		r.Tasks[0].Task != (core.TaskID{Job: "job-000412", I: 3}) || r.Tasks[1].Cause != core.CauseUnknown {
+		t.Errorf("report %+v", r)
+	}
+	for _, b := range []string{"", "{}", `{"Bracket":"n","Shift":1,"Pieces":[{"Piece":"job","Try":1,"Status":"running"}]}`,
+		`{"Bracket":"n","Shift":1,"Pieces":[{"Piece":"job-1/0","Try":1,"Status":"dancing"}]}`} {
+		if _, ok := ParseReport([]byte(b)); ok {
+			t.Errorf("%q was taken", b)
+		}
+	}
+}
+
+func FuzzSubmission(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"NameId":"job-000001","Pieces":1e3}`))
+	f.Add([]byte(`[{}]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		id, s := ParseSubmission(b)
+		if s != nil && (s.ID != id || s.N < 1 || s.N > 100000 || s.Need.CPU < 0 || s.Need.GPU < 0 || s.Need.Mem < 0 || s.Class == "" || s.Team == "") {
+			t.Errorf("accepted %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"member":"c-0","domain":"a","serve_on":"10.0.0.1:8080","back":"10.0.0.1:8081",
+"members":[{"member":"c-1","domain":"b","address":"10.0.0.2:8081"}],"external":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+"params":{"zones":["a","b"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":4,"gpus_max":8}],"new":1,
+"objectives":[{"kind":"wait","class":"x","within_s":20,"share":0.8},{"kind":"deadline","class":"y","share":0.9,"times":1.5}],
+"workers":{"report_s":3,"lease_s":31,"gang_wait_s":40,"gang_peer_s":6,"cancel_s":56},
+"state":{"rps":100,"write_rps":25,"value_kb":8,"txn_ops":20},"cloud":{"rps":4,"list_lag_s":6},
+"machine_limits":{"cpu":0.12,"ram_mb":234,"max_connections":3000},"skew_ms":25}}`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Core(nil, 1)
+	if len(c.Nodes) != 2 || c.Teams["t"].Max.GPU != 8000 || c.Wait["x"] != 20 || len(c.Dues) != 1 || c.ValueB != 8192 {
+		t.Errorf("core settings %+v", c)
+	}
+	if c.Fence.Seconds()+c.Lease.Seconds() >= c.Cancel.Seconds() {
+		t.Errorf("fence %v and lease %v don't fit into %v", c.Fence, c.Lease, c.Cancel)
+	}
+}
+
+// TestFaultsAreNamed: every fault is told by its field, all at once.
+func TestFaultsAreNamed(t *testing.T) {
+	bad := strings.NewReplacer(`"member":"c-0",`, ``, `"10.0.0.1:8081"`, `"nowhere"`, `"lease_s":31`, `"lease_s":-1`, `"txn_ops":20`, `"txn_ops":1`).Replace(good)
+	_, err := Parse([]byte(bad))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, f := range []string{"Member", "Back", "LeaseS", "TxnOps"} {
+		if !strings.Contains(err.Error(), f) {
+			t.Errorf("%s is not named in %q", f, err)
+		}
+	}
+	// A cancellation must fit fence and lease.
+	if _, err := Parse([]byte(strings.Replace(good, `"cancel_s":56`, `"cancel_s":32`, 1))); err == nil || !strings.Contains(err.Error(), "cancel_s") {
+		t.Errorf("short cancel_s: %v", err)
+	}
+}
+
+func TestOperator(t *testing.T) {
+	f := filepath.Join(t.TempDir(), "o.yaml")
+	for text, ok := range map[string]bool{"learn: false\nspare: 2\n": true, "spares: 2\n": false, "spare: -1\n": false} {
+		if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadOperator(f); (err == nil) != ok {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := LoadOperator("../../deploy/operator.example.yaml"); err != nil {
+		t.Errorf("the example: %v", err)
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := Parse(b); err == nil && s.Core(nil, 1).Fence <= 0 {
+			t.Error("no fence")
+		}
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -192,6 +192,17 @@
 	c.emit(EfLog{Level: level, Msg: msg, Args: args})
 }
 
+// Guards that tests may take away, to see that the rule checker notices.
+const (
+	GuardFence = "fence" // answer check-ins only behind a fresh confirmation
+	GuardProof = "proof" // book elsewhere only what is proven off
+	GuardQuota = "quota" // start only within the team's limit
+	GuardDead  = "dead"  // never answer a session that was given up
+)
+
+// guard tells whether a guard stands; outside tests all do.
+func (c *Core) guard(name string) bool { return c.cfg.DropGuard != name }
+
 // --- grant and member key ---
 
 func (c *Core) setGrant(s grantState) {
@@ -271,6 +282,9 @@
 // confirmed view and grant by requests sent under Fence ago, the cache has
 // reached what they saw, and the view has it as this incarnation.
 func (c *Core) fenceOK() bool {
+	if !c.guard(GuardFence) {
+		return c.synced && c.st.view != nil
+	}
 	return c.synced && c.st.view != nil && c.st.view.Members[c.cfg.Node] == c.inc &&
 		c.fenceAt >= 0 && c.now-c.fenceAt < c.cfg.Fence &&
 		c.grantAt >= 0 && c.now-c.grantAt < c.cfg.Fence
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -419,7 +419,7 @@
 			continue
 		}
 		fl := c.flavor(k.Type)
-		gang := false
+		gang, here := false, Res{}
 		for id := range c.st.byMach[k.Name] {
 			sp := c.st.jobs[id.Job].H.Spec
 			if sp == nil {
@@ -429,11 +429,12 @@
 				gang = true
 				break
 			}
-			want = want.Plus(sp.Need, 1)
+			here = here.Plus(sp.Need, 1)
 		}
 		if gang {
 			continue
 		}
+		want = want.Plus(here, 1)
 		p := fl.Price
 		if k.Spot {
 			p = fl.Spot
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -91,7 +91,7 @@
 	}
 	// A session given up, or a machine that the cloud took back, must not be
 	// kept alive by an answer: its tasks may already run elsewhere.
-	if r.Shift <= m.deadShift || c.st.marks[r.Machine].State == MarkGone {
+	if c.guard(GuardDead) && r.Shift <= m.deadShift || c.st.marks[r.Machine].State == MarkGone {
 		c.emit(EfCheckin{Req: e.Req, Status: 503})
 		return
 	}
@@ -314,6 +314,9 @@
 // offProof tells whether the booking of task id is proven off its machine,
 // as this node can know it: see docs/design.md, invariant 5.
 func (c *Core) offProof(m *Machine, id TaskID, t Task) bool {
+	if !c.guard(GuardProof) && c.now-m.heard > 4*time.Second {
+		return true
+	}
 	if c.st.marks[m.Name].State == MarkGone {
 		return true
 	}
@@ -351,7 +354,7 @@
 	if !c.fenceOK() {
 		return
 	}
-	for n := range c.st.byMach {
+	for _, n := range slices.Sorted(maps.Keys(c.st.byMach)) {
 		if c.mach[n] == nil && c.owns(n) {
 			m := newMachine(n)
 			m.ownEpoch, m.ownSince, m.heard = c.st.view.Epoch, c.now, c.now+tuning.TakeoverSilence
@@ -360,7 +363,8 @@
 	}
 	var silent []*Machine
 	heard := 0
-	for n, m := range c.mach {
+	for _, n := range c.machNames() {
+		m := c.mach[n]
 		if !c.owns(n) {
 			if c.now-m.heard > time.Minute {
 				delete(c.mach, n)
@@ -401,7 +405,8 @@
 			c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
 		}
 	}
-	for _, m := range c.mach {
+	for _, n := range c.machNames() {
+		m := c.mach[n]
 		if c.owns(m.Name) && m.errs >= tuning.SickErrors && c.st.marks[m.Name].State == "" &&
 			(len(m.errJobs) >= 2 || m.errs >= 2*tuning.SickErrors) {
 			c.mark(m.Name, MachineMark{MarkDrain, WhySick})
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -66,6 +66,8 @@
 	return p != nil && c.now-p.at < 3*tuning.DrawEvery && p.evict[name]
 }
 
+func (c *Core) machNames() []string { return slices.Sorted(maps.Keys(c.mach)) }
+
 // unplace takes a task off the queue it is in, if any.
 func (c *Core) unplace(id TaskID) {
 	if _, ok := c.placed[id]; !ok {
@@ -130,12 +132,12 @@
 	if f == nil {
 		return 0
 	}
-	l, need, run := 0, Res{}, 0.0
+	l, need, run := 0, Res{}, int64(0) // whole ms: sums don't depend on order
 	add := func(id TaskID) {
 		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil {
 			l++
 			need = need.Plus(j.H.Spec.Need, 1)
-			run += c.runTime(j.H.Spec)
+			run += int64(1000 * c.runTime(j.H.Spec))
 		}
 	}
 	for id := range c.st.byMach[m.Name] {
@@ -152,7 +154,7 @@
 	k := int64(l)
 	mean := Res{need.CPU / k, need.GPU / k, need.Mem / k}
 	slots := max(f.Size.Times(mean, 64), 1)
-	t := run / float64(l)
+	t := float64(run) / 1000 / float64(l)
 	if m.rate.n >= 3 {
 		t = (t + m.rate.v) / 2
 	}
@@ -161,7 +163,8 @@
 
 func (c *Core) meanLoad() float64 {
 	s, n := 0.0, 0
-	for name, m := range c.mach {
+	for _, name := range c.machNames() {
+		m := c.mach[name]
 		if c.owns(name) && c.bookable(m) && !c.kept(name) {
 			s += c.load(m)
 			n++
@@ -215,7 +218,7 @@
 		return
 	}
 	var mine []*Machine
-	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+	for _, name := range c.machNames() {
 		m := c.mach[name]
 		if c.owns(name) && c.bookable(m) && !c.kept(name) {
 			mine = append(mine, m)
@@ -593,7 +596,7 @@
 			}
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+	for _, name := range c.machNames() {
 		m := c.mach[name]
 		f := c.flavor(m.Type)
 		if len(m.queue) == 0 || f == nil {
@@ -681,7 +684,7 @@
 // tellPeers sends this node's machines and loads.
 func (c *Core) tellPeers() {
 	msg := PeerMsg{Epoch: c.st.view.Epoch, Load: c.meanLoad()}
-	for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+	for _, name := range c.machNames() {
 		m := c.mach[name]
 		if !c.owns(name) || !m.heardOnce || c.now-m.heard > tuning.Silent || c.st.marks[name].State == MarkGone ||
 			m.shift <= m.deadShift {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -361,7 +361,7 @@
 	claims := c.claims()
 	for round := 0; round < 64; round++ {
 		var cs []cand
-		for _, name := range slices.Sorted(maps.Keys(c.mach)) {
+		for _, name := range c.machNames() {
 			m := c.mach[name]
 			if len(m.queue) == 0 || !c.owns(name) || !c.bookable(m) || c.kept(name) {
 				continue
@@ -456,6 +456,9 @@
 // whole job can use, small tasks may.
 func (c *Core) teamAllows(sp *Spec, d *draft, claims map[string]claim) bool {
 	lim, used := c.cfg.Teams[sp.Team].Max, d.teamUsed(sp.Team)
+	if !c.guard(GuardQuota) {
+		return true
+	}
 	if !within(used.Plus(sp.Need, 1), lim) {
 		return false
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -171,26 +171,27 @@
 
 // Settings is what the core needs of the settings file.
 type Settings struct {
-	Node     string
-	Zone     string
-	Nodes    []string // all, sorted
-	Teams    map[string]Limits
-	Zones    []string
-	Report   time.Duration
-	Lease    time.Duration
-	Cancel   time.Duration
-	Peer     time.Duration // gang_peer_s
-	Fence    time.Duration // age of a confirmation up to which the node acts
-	ValueB   int
-	TxnOps   int
-	ListLag  time.Duration
-	Seed     uint64
-	Wait     map[string]float64   // class -> seconds within which its tasks should start
-	Goals    map[string][]float64 // class -> seconds within which its jobs should be done
-	GuarWait float64              // s within which work in a guarantee should start
-	Dues     []float64            // multiples of a deadline that count
-	Spare    int                  // machines kept warm for such a class; operators may change it
-	Learn    bool
+	Node      string
+	Zone      string
+	Nodes     []string // all, sorted
+	Teams     map[string]Limits
+	Zones     []string
+	Report    time.Duration
+	Lease     time.Duration
+	Cancel    time.Duration
+	Peer      time.Duration // gang_peer_s
+	Fence     time.Duration // age of a confirmation up to which the node acts
+	ValueB    int
+	TxnOps    int
+	ListLag   time.Duration
+	Seed      uint64
+	Wait      map[string]float64   // class -> seconds within which its tasks should start
+	Goals     map[string][]float64 // class -> seconds within which its jobs should be done
+	GuarWait  float64              // s within which work in a guarantee should start
+	Dues      []float64            // multiples of a deadline that count
+	Spare     int                  // machines kept warm for such a class; operators may change it
+	DropGuard string               // tests only: a guard taken away
+	Learn     bool
 }
 
 // KV is an item of the state service.
--- /dev/null
+++ b/internal/standin/script.go
@@ -0,0 +1,221 @@
+package standin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"brassglade/internal/core"
+)
+
+// each runs f every second of the world.
+func (w *World) each(f func()) {
+	var again func()
+	again = func() {
+		f()
+		w.after(time.Second, again)
+	}
+	w.after(time.Second, again)
+}
+
+// Watchful starts the checks that run every second, among them gangs whose
+// mates are gone.
+func (w *World) Watchful() {
+	w.each(w.checkPlaces)
+	lost := map[string]time.Duration{}
+	w.each(func() {
+		type key struct {
+			job string
+			a   uint64
+		}
+		running := map[key]int{}
+		for _, k := range w.workers {
+			for _, id := range k.ids() {
+				if t := k.tasks[id]; t.state == core.SeenRunning && !k.hung && w.jobs[id.Job].spec.Shape == core.Gang {
+					running[key{id.Job, t.attempt}]++
+				}
+			}
+		}
+		for _, k := range w.workers {
+			for _, id := range k.ids() {
+				t, j := k.tasks[id], w.jobs[id.Job]
+				g := key{id.Job, t.attempt}
+				if t.state != core.SeenRunning || j.spec.Shape != core.Gang || running[g] >= j.spec.N || len(j.done) > 0 {
+					continue
+				}
+				n := fmt.Sprintf("%s %d", g.job, g.a)
+				if _, ok := lost[n]; !ok {
+					lost[n] = w.Now
+				}
+				if w.Now-lost[n] >= w.set.Peer {
+					k.do(func() {
+						if t.state == core.SeenRunning {
+							k.end(id, t, "peers", false)
+						}
+					})
+				}
+			}
+		}
+	})
+}
+
+func secs(s string) (time.Duration, error) {
+	x, err := strconv.ParseFloat(s, 64)
+	return time.Duration(x * float64(time.Second)), err
+}
+
+// Play reads a script, one action a line, and plays it:
+//
+//	seed N
+//	drop GUARD
+//	at T submit ID SHAPE N TEAM [run=S] [gpu=N] [cpu=N] [prio=N] [spot] [onezone] [ckpt=S]
+//	at T cancel ID
+//	at T crash NODE back=S           at T crash all back=S
+//	at T cut A B drop|hold for=S     (nodes, state, cloud, users, n-000001; * for all workers)
+//	at T state down for=S            at T state refuse NODE for=S
+//	at T cloud down for=S
+//	at T hang MACHINE for=S          at T take MACHINE       at T notice MACHINE in=S
+//	at T sick MACHINE
+//	until T
+func Play(script string) (*World, error) {
+	seed, set := uint64(1), Settings()
+	var until time.Duration
+	type line struct {
+		at time.Duration
+		f  []string
+	}
+	var ls []line
+	for _, l := range strings.Split(script, "\n") {
+		f := strings.Fields(l)
+		if len(f) == 0 || strings.HasPrefix(f[0], "#") {
+			continue
+		}
+		var err error
+		switch f[0] {
+		case "seed":
+			seed, err = strconv.ParseUint(f[1], 10, 64)
+		case "drop":
+			set.DropGuard = f[1]
+		case "until":
+			until, err = secs(f[1])
+		case "at":
+			var d time.Duration
+			d, err = secs(f[1])
+			ls = append(ls, line{d, f[2:]})
+		default:
+			err = fmt.Errorf("unknown word")
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%q: %w", l, err)
+		}
+	}
+	w := New(seed, set)
+	w.Watchful()
+	for _, l := range ls {
+		w.after(l.at, func() {
+			if err := w.act(l.f); err != nil {
+				w.broke("script", "%v: %v", l.f, err)
+			}
+		})
+	}
+	w.Run(until)
+	return w, nil
+}
+
+func (w *World) node(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// act carries out one action of a script.
+func (w *World) act(f []string) error {
+	opt := map[string]string{}
+	for _, x := range f {
+		k, v, _ := strings.Cut(x, "=")
+		opt[k] = v
+	}
+	num := func(k string, def float64) float64 {
+		if v, err := strconv.ParseFloat(opt[k], 64); err == nil {
+			return v
+		}
+		return def
+	}
+	dur := func(k string, def float64) time.Duration { return time.Duration(num(k, def) * float64(time.Second)) }
+	_, spot := opt["spot"]
+	_, oneZone := opt["onezone"]
+	switch f[0] {
+	case "submit":
+		n, err := strconv.Atoi(f[3])
+		if err != nil {
+			return err
+		}
+		w.Submit(core.Spec{
+			ID: f[1], Class: "c", Team: f[4], Shape: core.Shape(f[2]), Prio: int(num("prio", 1)), N: n,
+			Need: core.Res{CPU: int64(1000 * num("cpu", 2)), GPU: int64(1000 * num("gpu", 1)), Mem: 4000},
+			Spot: spot, OneZone: oneZone, Image: "img", ImageGB: 1, Est: num("run", 20), Ckpt: num("ckpt", 0), Save: 2,
+		}, dur("run", 20))
+	case "cancel":
+		w.Abort(f[1])
+	case "crash":
+		for _, n := range w.nodes {
+			if f[1] == "all" || f[1] == n.name {
+				n.crash(dur("back", 4))
+			}
+		}
+	case "cut":
+		w.log("cut %s - %s (%s)", f[1], f[2], f[3])
+		if f[2] != "*" {
+			w.cut(f[1], f[2], f[3], dur("for", 20))
+			return nil
+		}
+		for i := 1; i <= 60; i++ { // also those not rented yet
+			w.cut(f[1], fmt.Sprintf("n-%06d", i), f[3], dur("for", 20))
+		}
+	case "state":
+		if f[1] == "down" {
+			w.st.outage(dur("for", 20))
+			return nil
+		}
+		w.log("state service refuses %s", f[2])
+		w.st.refuse[f[2]] = true
+		w.after(dur("for", 20), func() {
+			delete(w.st.refuse, f[2])
+			w.st.wake()
+		})
+	case "cloud":
+		w.cl.up = false
+		w.after(dur("for", 20), func() { w.cl.up = true })
+	case "hang", "take", "notice", "sick":
+		k := w.worker(f[1])
+		if k == nil || k.gone {
+			w.log("no machine %s", f[1])
+			return nil
+		}
+		switch f[0] {
+		case "hang":
+			k.hang(dur("for", 20))
+		case "take":
+			k.vanish("is taken")
+		case "sick":
+			w.log("%s fails all it starts", k.name)
+			k.sick = true
+		case "notice":
+			w.log("%s is recalled", k.name)
+			k.recall = w.Now + dur("in", 8)
+			k.changed()
+			w.after(dur("in", 8), func() {
+				if !k.gone {
+					k.vanish("is taken")
+				}
+			})
+		}
+	default:
+		return fmt.Errorf("unknown action")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,411 @@
+package standin
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"brassglade/internal/core"
+)
+
+// provider is a cloud with one machine type, two zones and a lagging list.
+type provider struct {
+	w     *World
+	up    bool
+	hires map[string][]string
+	n     int
+	sick  map[string]bool
+}
+
+var size = core.Res{CPU: 16000, GPU: 4000, Mem: 64000}
+
+func (c *provider) flavors() any {
+	if !c.up {
+		return nil
+	}
+	return core.EvFlavors{OK: true, F: []core.Flavor{{
+		Name: "box", Size: size, Cache: 100, Fetch: 1, Price: 10, Spot: 4, BootS: 10, Zones: []string{"a", "b"},
+	}}}
+}
+
+func (c *provider) list() any {
+	if !c.up {
+		return nil
+	}
+	ev := core.EvList{OK: true}
+	for _, k := range c.w.workers {
+		if k.gone && c.w.Now-k.goneAt > c.w.set.ListLag || c.w.Now-k.born < c.w.set.ListLag {
+			continue
+		}
+		st := "booting"
+		if k.up {
+			st = "running"
+		}
+		ev.L = append(ev.L, core.Inst{Name: k.name, Addr: k.name, Type: "box", Zone: k.zone, Spot: k.spot, Status: st,
+			Held: (c.w.Now - k.born).Seconds()})
+	}
+	return ev
+}
+
+func (c *provider) rent(e core.EfRent) any {
+	if !c.up {
+		return core.EvRented{Hire: e.Hire}
+	}
+	if names, ok := c.hires[e.Hire]; ok {
+		return core.EvRented{Hire: e.Hire, OK: true, Names: names}
+	}
+	var names []string
+	for i := 0; i < e.Count; i++ {
+		live := 0
+		for _, k := range c.w.workers {
+			if !k.gone && k.zone == e.Zone && k.spot == e.Spot {
+				live++
+			}
+		}
+		if live >= 5 {
+			break
+		}
+		c.n++
+		k := newWorker(c.w, fmt.Sprintf("n-%06d", c.n), e.Zone, e.Spot)
+		names = append(names, k.name)
+	}
+	if len(names) == 0 {
+		return core.EvRented{Hire: e.Hire, None: true}
+	}
+	c.hires[e.Hire] = names
+	return core.EvRented{Hire: e.Hire, OK: true, Names: names}
+}
+
+func (c *provider) giveBack(names []string) any {
+	if !c.up {
+		return nil
+	}
+	for _, n := range names {
+		if k := c.w.worker(n); k != nil && !k.gone {
+			k.vanish("returned")
+		}
+	}
+	return true
+}
+
+type task struct {
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+}
+
+// on: it has its image and has not ended.
+func (t *task) on() bool {
+	return t.state == core.SeenWaiting || t.state == core.SeenRunning || t.state == core.SeenSaving
+}
+
+// worker is one machine.
+type worker struct {
+	w           *World
+	name, zone  string
+	spot        bool
+	born        time.Duration
+	up, gone    bool
+	goneAt      time.Duration
+	hung        bool
+	sick        bool
+	paused      []func()
+	shift       uint64
+	tally       uint64
+	baton       uint64
+	node        int
+	tasks       map[core.TaskID]*task
+	answered    time.Duration // sending time of the last answered report
+	busy        bool          // a report is in flight
+	last        time.Duration
+	recall      time.Duration
+	nextForeman string
+}
+
+func newWorker(w *World, name, zone string, spot bool) *worker {
+	k := &worker{w: w, name: name, zone: zone, spot: spot, born: w.Now, shift: 1, tasks: map[core.TaskID]*task{}, recall: -1}
+	w.workers = append(w.workers, k)
+	boot := time.Duration(8000+w.rng.IntN(6000)) * time.Millisecond
+	w.after(boot, func() {
+		if k.gone {
+			return
+		}
+		k.up, k.answered, k.node = true, w.Now, w.rng.IntN(len(w.nodes))
+		k.loop()
+		k.leases()
+	})
+	return k
+}
+
+func (k *worker) ids() []core.TaskID {
+	l := make([]core.TaskID, 0, len(k.tasks))
+	for id := range k.tasks {
+		l = append(l, id)
+	}
+	sort.Slice(l, func(a, b int) bool {
+		return l[a].Job < l[b].Job || l[a].Job == l[b].Job && l[a].I < l[b].I
+	})
+	return l
+}
+
+func (k *worker) vanish(how string) {
+	k.w.log("%s %s", k.name, how)
+	k.gone, k.goneAt = true, k.w.Now
+	k.tasks = map[core.TaskID]*task{}
+}
+
+// do runs f now, or when the machine no longer hangs.
+func (k *worker) do(f func()) {
+	if k.gone {
+		return
+	}
+	if k.hung {
+		k.paused = append(k.paused, f)
+		return
+	}
+	f()
+}
+
+func (k *worker) hang(d time.Duration) {
+	k.w.log("%s hangs", k.name)
+	k.hung = true
+	k.w.after(d, func() {
+		if k.gone {
+			return
+		}
+		k.w.log("%s goes on", k.name)
+		k.hung = false
+		p := k.paused
+		k.paused = nil
+		for _, f := range p {
+			k.do(f)
+		}
+	})
+}
+
+func (k *worker) loop() {
+	k.w.after(time.Duration(2250+k.w.rng.IntN(1500))*time.Millisecond, func() { k.do(k.loop) })
+	k.report()
+}
+
+// leases ends the session when no report was answered in time; also while the
+// machine hangs, since its tasks are killed before anything else then.
+func (k *worker) leases() {
+	if k.gone {
+		return
+	}
+	if k.w.Now-k.answered > k.w.set.Lease {
+		k.w.log("%s loses its lease, shift %d", k.name, k.shift+1)
+		k.shift++
+		k.tasks = map[core.TaskID]*task{}
+		k.answered = k.w.Now
+	}
+	k.w.after(100*time.Millisecond, k.leases)
+}
+
+func (k *worker) changed() {
+	wait := max(0, 500*time.Millisecond-(k.w.Now-k.last))
+	k.w.after(wait, func() { k.do(k.report) })
+}
+
+func (k *worker) makeReport() core.Report {
+	k.tally++
+	r := core.Report{Machine: k.name, Addr: k.name, Type: "box", Zone: k.zone, Spot: k.spot,
+		Shift: k.shift, Tally: k.tally, Baton: k.baton, Recall: -1}
+	if k.recall >= 0 {
+		r.Recall = max(0, (k.recall - k.w.Now).Seconds())
+	}
+	for _, id := range k.ids() {
+		t := k.tasks[id]
+		r.Tasks = append(r.Tasks, core.Seen{Task: id, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+func (k *worker) report() {
+	if k.busy || k.gone {
+		return
+	}
+	k.busy, k.last = true, k.w.Now
+	r := k.makeReport()
+	sent, shift := k.w.Now, k.shift
+	n := k.w.nodes[k.node]
+	k.w.call(k.name, n.name, 4*time.Second, func(reply func(any)) {
+		n.ask(func(q uint64) core.Event { return core.EvCheckin{Req: q, R: r} }, func(e core.Effect) { reply(e) })
+	}, func(x any) {
+		k.do(func() {
+			k.busy = false
+			a, _ := x.(core.EfCheckin)
+			switch {
+			case a.Status == 200:
+				if shift != k.shift || a.Baton < k.baton || k.w.Now-sent > 4*time.Second {
+					return
+				}
+				k.baton, k.answered = a.Baton, sent
+				k.obey(a.Orders)
+				return
+			case a.Status == 421:
+				for i, o := range k.w.nodes {
+					if o.name == a.Owner && i != k.node {
+						k.node = i
+						k.w.after(200*time.Millisecond, func() { k.do(k.report) })
+						return
+					}
+				}
+			}
+			k.node = (k.node + 1) % len(k.w.nodes)
+			k.w.after(time.Second, func() { k.do(k.report) })
+		})
+	})
+}
+
+// direct carries out orders sent straight here.
+func (k *worker) direct(e core.EfDirect, reply func(any)) {
+	k.do(func() {
+		if e.Baton >= k.baton && e.Shift == k.shift {
+			k.baton = e.Baton
+			k.obey(e.Orders)
+		}
+		reply(k.makeReport())
+	})
+}
+
+func (k *worker) obey(os []core.Order) {
+	for _, o := range os {
+		t := k.tasks[o.Task]
+		switch o.Verb {
+		case core.Clear:
+			if t != nil && t.attempt == o.Attempt && t.state == core.SeenEnded {
+				delete(k.tasks, o.Task)
+			}
+		case core.Halt:
+			if t == nil || t.attempt != o.Attempt || t.state == core.SeenEnded {
+				continue
+			}
+			sp := k.w.jobs[o.Task.Job].spec
+			if t.state == core.SeenRunning && sp.Ckpt > 0 && o.Leeway >= sp.Save {
+				t.state = core.SeenSaving
+				k.w.after(time.Duration(sp.Save*float64(time.Second)), func() {
+					k.do(func() {
+						if k.tasks[o.Task] == t && t.state == core.SeenSaving {
+							k.end(o.Task, t, core.CauseStopped, true)
+						}
+					})
+				})
+			} else if t.state != core.SeenSaving || o.Leeway == 0 {
+				k.end(o.Task, t, core.CauseStopped, false)
+			}
+		case core.Run:
+			k.start(o)
+		}
+	}
+}
+
+func (k *worker) end(id core.TaskID, t *task, cause string, saved bool) {
+	t.state, t.cause, t.saved = core.SeenEnded, cause, saved
+	k.w.log("%s/%d try %d ends on %s: %s", id.Job, id.I, t.attempt, k.name, cause)
+	k.changed()
+}
+
+func (k *worker) start(o core.Order) {
+	id := o.Task
+	j := k.w.jobs[id.Job]
+	if t := k.tasks[id]; t != nil {
+		if t.attempt != o.Attempt && t.state != core.SeenEnded {
+			k.w.broke("busy", "%v try %d on %s beside try %d", id, o.Attempt, k.name, t.attempt)
+		}
+		return
+	}
+	t := &task{attempt: o.Attempt, state: core.SeenFetching}
+	k.tasks[id] = t
+	var used core.Res
+	for x, y := range k.tasks {
+		if y.state != core.SeenEnded {
+			used = used.Plus(k.w.jobs[x.Job].spec.Need, 1)
+		}
+	}
+	if !size.Holds(used) {
+		k.end(id, t, core.CauseNoRoom, false)
+		return
+	}
+	shift := k.shift
+	k.w.after(time.Duration(500+k.w.rng.IntN(1500))*time.Millisecond, func() {
+		k.do(func() {
+			if k.shift != shift || k.tasks[id] != t || t.state != core.SeenFetching {
+				return
+			}
+			k.arrive(id, t, j)
+		})
+	})
+}
+
+// arrive: the task has its image and is on the machine from now on.
+func (k *worker) arrive(id core.TaskID, t *task, j *truth) {
+	if k.sick {
+		k.end(id, t, core.CauseError, false)
+		return
+	}
+	for _, o := range k.w.workers {
+		if x := o.tasks[id]; o != k && x != nil && x.on() && !o.gone {
+			k.w.broke("ran_twice", "%s/%d try %d on %s while try %d is on %s", id.Job, id.I, t.attempt, k.name, x.attempt, o.name)
+		}
+		for other, x := range o.tasks {
+			if other.Job == id.Job && x.on() && !o.gone && j.spec.OneZone && o.zone != k.zone {
+				k.w.broke("wrong_place", "%s/%d in zone %s, others in %s", id.Job, id.I, k.zone, o.zone)
+			}
+		}
+	}
+	if k.spot && !j.spec.Spot || j.spec.Zone != "" && j.spec.Zone != k.zone {
+		k.w.broke("wrong_place", "%s/%d on %s", id.Job, id.I, k.name)
+	}
+	if j.cancelAt >= 0 && k.w.Now-j.cancelAt > k.w.set.Cancel {
+		k.w.broke("ran_cancelled", "%s/%d starts on %s", id.Job, id.I, k.name)
+	}
+	t.state = core.SeenWaiting
+	k.w.checkPlaces()
+	if j.spec.Shape != core.Gang || j.spec.N == 1 {
+		k.run(id, t, j)
+		return
+	}
+	type member struct {
+		k  *worker
+		id core.TaskID
+		t  *task
+	}
+	var all []member
+	for _, o := range k.w.workers {
+		for _, oid := range o.ids() {
+			if x := o.tasks[oid]; oid.Job == id.Job && x.attempt == t.attempt && x.state == core.SeenWaiting {
+				all = append(all, member{o, oid, x})
+			}
+		}
+	}
+	if len(all) == j.spec.N {
+		for _, m := range all {
+			m.k.run(m.id, m.t, j)
+		}
+	}
+}
+
+func (k *worker) run(id core.TaskID, t *task, j *truth) {
+	t.state = core.SeenRunning
+	k.w.log("%s/%d try %d runs on %s (%s)", id.Job, id.I, t.attempt, k.name, k.zone)
+	k.changed()
+	if j.spec.Shape == core.Service {
+		return
+	}
+	left := j.run
+	if j.done[id.I] {
+		left = 0
+	}
+	shift := k.shift
+	k.w.after(left, func() {
+		k.do(func() {
+			if k.shift == shift && k.tasks[id] == t && t.state == core.SeenRunning {
+				j.done[id.I] = true
+				k.end(id, t, core.CauseDone, false)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,553 @@
+// Package standin is a deterministic world for tests: state service, cloud,
+// workers, users and a network that delays, cuts and holds back, all in
+// virtual time round real cores. It checks the protocol's rules as it goes.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"brassglade/internal/core"
+	"brassglade/internal/tuning"
+)
+
+type action struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	o := *a
+	x := o[len(o)-1]
+	*a = o[:len(o)-1]
+	return x
+}
+
+// World is a simulated deployment.
+type World struct {
+	Now    time.Duration
+	Trace  []string // what happened, for people
+	Broken []string // rules that were broken
+
+	rng     *rand.Rand
+	set     core.Settings
+	queue   agenda
+	seq     int
+	nodes   []*node
+	st      *service
+	cl      *provider
+	workers []*worker
+	jobs    map[string]*truth
+	cuts    map[string]string // "a|b" -> drop or hold
+	held    map[string][]func()
+}
+
+// truth is what really became of a job.
+type truth struct {
+	spec      core.Spec
+	run       time.Duration
+	done      map[int]bool
+	accepted  bool
+	asked     bool          // submitted by a user
+	cancelAsk bool          // its user asked to cancel it
+	cancelAt  time.Duration // when told; < 0: not
+	told      string        // final state told
+}
+
+// Settings of a small deployment with three controllers and two teams.
+func Settings() core.Settings {
+	return core.Settings{
+		Nodes: []string{"c-0", "c-1", "c-2"}, Zones: []string{"a", "b"},
+		Teams: map[string]core.Limits{
+			"red":  {Guar: core.Res{GPU: 8000}, Max: core.Res{GPU: 12000}},
+			"blue": {Guar: core.Res{GPU: 8000}, Max: core.Res{GPU: 40000}},
+		},
+		Report: 3 * time.Second, Lease: 20 * time.Second, Cancel: 40 * time.Second, Peer: 5 * time.Second,
+		Fence: tuning.Fence, ValueB: 4096, TxnOps: 8, ListLag: 4 * time.Second,
+		Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: 0, Learn: true,
+	}
+}
+
+// New returns a world whose nodes start at time 0.
+func New(seed uint64, set core.Settings) *World {
+	w := &World{
+		rng: rand.New(rand.NewPCG(seed, 7)), set: set, jobs: map[string]*truth{},
+		cuts: map[string]string{}, held: map[string][]func(){},
+	}
+	w.st = newService(w)
+	w.cl = &provider{w: w, hires: map[string][]string{}, up: true}
+	for i, name := range set.Nodes {
+		n := &node{w: w, name: name, drift: 1 + 0.0005*float64(i-1)}
+		w.nodes = append(w.nodes, n)
+		n.boot()
+	}
+	return w
+}
+
+func (w *World) log(format string, a ...any) {
+	w.Trace = append(w.Trace, fmt.Sprintf("%7.2f ", w.Now.Seconds())+fmt.Sprintf(format, a...))
+}
+
+func (w *World) broke(rule, format string, a ...any) {
+	s := rule + ": " + fmt.Sprintf(format, a...)
+	w.Broken = append(w.Broken, s)
+	w.log("BROKEN %s", s)
+}
+
+func (w *World) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, action{w.Now + d, w.seq, f})
+}
+
+// Run plays until the given time.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		a := heap.Pop(&w.queue).(action)
+		w.Now = a.at
+		a.f()
+	}
+	w.Now = until
+}
+
+func pair(a, b string) string {
+	if a > b {
+		a, b = b, a
+	}
+	return a + "|" + b
+}
+
+// send delivers after a little while, unless a cut drops it or holds it back.
+func (w *World) send(from, to string, f func()) {
+	switch w.cuts[pair(from, to)] {
+	case "drop":
+		return
+	case "hold":
+		k := pair(from, to)
+		w.held[k] = append(w.held[k], f)
+		return
+	}
+	w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, f)
+}
+
+// call is a request with a time limit; done gets nil when it passes.
+func (w *World) call(from, to string, limit time.Duration, exec func(reply func(any)), done func(any)) {
+	over := false
+	w.send(from, to, func() {
+		exec(func(r any) {
+			w.send(to, from, func() {
+				if !over {
+					over = true
+					done(r)
+				}
+			})
+		})
+	})
+	w.after(limit, func() {
+		if !over {
+			over = true
+			done(nil)
+		}
+	})
+}
+
+func (w *World) cut(a, b, mode string, d time.Duration) {
+	k := pair(a, b)
+	w.cuts[k] = mode
+	w.after(d, func() {
+		delete(w.cuts, k)
+		for _, f := range w.held[k] {
+			w.after(time.Millisecond, f)
+		}
+		delete(w.held, k)
+	})
+}
+
+// node is one controller process round a real core.
+type node struct {
+	w     *World
+	name  string
+	core  *core.Core
+	gen   int
+	born  time.Duration
+	drift float64
+	req   uint64
+	wait  map[uint64]func(core.Effect)
+	since uint64
+}
+
+func (n *node) now() time.Duration {
+	return time.Duration(float64(n.w.Now-n.born) * n.drift)
+}
+
+func (n *node) boot() {
+	n.gen++
+	n.born = n.w.Now
+	s := n.w.set
+	s.Node, s.Seed = n.name, uint64(n.gen)
+	n.core = core.New(s, fmt.Sprintf("%s.%d", n.name, n.gen))
+	n.wait = map[uint64]func(core.Effect){}
+	g := n.gen
+	var tick func()
+	tick = func() {
+		if n.gen == g && n.core != nil {
+			n.step(core.EvTick{})
+			n.w.after(tuning.Tick, tick)
+		}
+	}
+	n.w.after(time.Duration(n.w.rng.IntN(100))*time.Millisecond, tick)
+	n.snapshot(g)
+}
+
+func (n *node) crash(back time.Duration) {
+	if n.core == nil {
+		return
+	}
+	n.w.log("%s ends", n.name)
+	n.core = nil
+	n.gen++
+	n.w.after(back, func() {
+		if n.core == nil {
+			n.w.log("%s starts", n.name)
+			n.boot()
+		}
+	})
+}
+
+func (n *node) step(ev core.Event) {
+	if n.core == nil {
+		return
+	}
+	for _, e := range n.core.Step(n.now(), ev) {
+		n.carry(e)
+	}
+}
+
+// ask puts a request to the core; the answer comes through the effect.
+func (n *node) ask(mk func(uint64) core.Event, done func(core.Effect)) {
+	if n.core == nil {
+		return
+	}
+	n.req++
+	n.wait[n.req] = done
+	n.step(mk(n.req))
+}
+
+func (n *node) answer(req uint64, e core.Effect) {
+	if f := n.wait[req]; f != nil {
+		delete(n.wait, req)
+		f(e)
+	}
+}
+
+// back delivers an answer if the process is still the same.
+func (n *node) back(g int) func(core.Event) {
+	return func(e core.Event) {
+		if n.gen == g {
+			n.step(e)
+		}
+	}
+}
+
+func (n *node) carry(e core.Effect) {
+	w, back := n.w, n.back(n.gen)
+	switch x := e.(type) {
+	case core.EfCheckin:
+		n.answer(x.Req, x)
+	case core.EfUser:
+		n.answer(x.Req, x)
+	case core.EfConfirm:
+		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.confirm(n.name, x)) }, func(r any) {
+			ev, _ := r.(core.EvConfirm)
+			back(ev)
+		})
+	case core.EfCommit:
+		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.commit(n.name, x)) }, func(r any) {
+			ev, ok := r.(core.EvCommit)
+			if !ok {
+				ev = core.EvCommit{ID: x.ID, Result: core.Unknown}
+			}
+			back(ev)
+		})
+	case core.EfGrant:
+		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.grant(n.name, x.Life)) }, func(r any) {
+			ev, _ := r.(core.EvGrant)
+			back(ev)
+		})
+	case core.EfRenew:
+		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.renew(n.name, x.Permit)) }, func(r any) {
+			ev, _ := r.(core.EvRenew)
+			back(ev)
+		})
+	case core.EfFlavors:
+		w.call(n.name, "cloud", tuning.CloudTimeout, func(r func(any)) { r(w.cl.flavors()) }, func(r any) {
+			ev, _ := r.(core.EvFlavors)
+			back(ev)
+		})
+	case core.EfList:
+		w.call(n.name, "cloud", tuning.CloudTimeout, func(r func(any)) { r(w.cl.list()) }, func(r any) {
+			ev, _ := r.(core.EvList)
+			back(ev)
+		})
+	case core.EfRent:
+		w.call(n.name, "cloud", tuning.CloudTimeout, func(r func(any)) { r(w.cl.rent(x)) }, func(r any) {
+			ev, ok := r.(core.EvRented)
+			if !ok {
+				ev = core.EvRented{Hire: x.Hire}
+			}
+			back(ev)
+		})
+	case core.EfReturn:
+		w.call(n.name, "cloud", tuning.CloudTimeout, func(r func(any)) { r(w.cl.giveBack(x.Names)) }, func(r any) {
+			ok, _ := r.(bool)
+			back(core.EvReturned{Names: x.Names, OK: ok})
+		})
+	case core.EfPeer:
+		for _, o := range w.nodes {
+			if o.name == x.To {
+				w.send(n.name, o.name, func() { o.step(core.EvPeer{From: n.name, Msg: x.Msg}) })
+			}
+		}
+	case core.EfDirect:
+		k := w.worker(x.Machine)
+		if k == nil {
+			return
+		}
+		w.call(n.name, k.name, tuning.DirectTimeout, func(r func(any)) { k.direct(x, r) }, func(r any) {
+			ev := core.EvDirect{Machine: x.Machine}
+			if rep, ok := r.(core.Report); ok {
+				ev.R = &rep
+			}
+			back(ev)
+		})
+	case core.EfLog:
+		if x.Msg == "view" {
+			w.log("%s sees view %v", n.name, x.Args)
+		}
+	}
+}
+
+func (n *node) snapshot(g int) {
+	if n.gen != g {
+		return
+	}
+	n.w.call(n.name, "state", 2*tuning.StateTimeout, func(r func(any)) { r(n.w.st.snapshot(n.name)) }, func(r any) {
+		if n.gen != g {
+			return
+		}
+		ev, ok := r.(core.EvSnapshot)
+		if !ok {
+			n.w.after(tuning.ConfirmRetry, func() { n.snapshot(g) })
+			return
+		}
+		n.since = ev.Ledger
+		n.step(ev)
+		n.watch(g)
+	})
+}
+
+func (n *node) watch(g int) {
+	if n.gen != g {
+		return
+	}
+	n.w.call(n.name, "state", tuning.WatchWait+tuning.StateTimeout, func(r func(any)) { n.w.st.watch(n.name, n.since, r) }, func(r any) {
+		if n.gen != g {
+			return
+		}
+		pause := tuning.ConfirmRetry
+		if ev, ok := r.(core.EvWatch); ok {
+			n.since = max(n.since, ev.Ledger)
+			n.step(ev)
+			pause = tuning.WatchGap
+		}
+		n.w.after(pause, func() { n.watch(g) })
+	})
+}
+
+func (w *World) worker(name string) *worker {
+	for _, k := range w.workers {
+		if k.name == name {
+			return k
+		}
+	}
+	return nil
+}
+
+// Submit sends a job and repeats it until it is accepted; then polls.
+func (w *World) Submit(s core.Spec, run time.Duration) {
+	t := w.jobs[s.ID]
+	if t == nil {
+		t = &truth{spec: s, run: run, done: map[int]bool{}, cancelAt: -1}
+		w.jobs[s.ID] = t
+	}
+	t.asked = true
+	w.user(func(n *node, done func(core.Effect)) {
+		sp := s
+		n.ask(func(r uint64) core.Event { return core.EvSubmit{Req: r, ID: s.ID, Spec: &sp} }, done)
+	}, func(u core.EfUser) {
+		w.judge(s.ID, u)
+		if u.Status == 200 || u.Status == 201 {
+			w.log("%s accepted", s.ID)
+			w.poll(s.ID)
+			return
+		}
+		w.after(time.Second, func() { w.Submit(s, run) })
+	})
+}
+
+// user sends a request to a live node through the load balancer.
+func (w *World) user(ask func(*node, func(core.Effect)), done func(core.EfUser)) {
+	var live []*node
+	for _, n := range w.nodes {
+		if n.core != nil {
+			live = append(live, n)
+		}
+	}
+	if len(live) == 0 {
+		done(core.EfUser{})
+		return
+	}
+	n := live[w.rng.IntN(len(live))]
+	w.call("users", n.name, 2*time.Second, func(r func(any)) {
+		ask(n, func(e core.Effect) { r(e) })
+	}, func(r any) {
+		u, _ := r.(core.EfUser)
+		done(u)
+	})
+}
+
+func (w *World) poll(id string) {
+	w.user(func(n *node, done func(core.Effect)) {
+		n.ask(func(r uint64) core.Event { return core.EvPoll{Req: r, ID: id} }, done)
+	}, func(u core.EfUser) {
+		w.judge(id, u)
+		if t := w.jobs[id]; t.told == "" {
+			w.after(5*time.Second, func() { w.poll(id) })
+		}
+	})
+}
+
+// Abort cancels a job, repeating until told that it is over.
+func (w *World) Abort(id string) {
+	t := w.jobs[id]
+	t.cancelAsk = true
+	w.user(func(n *node, done func(core.Effect)) {
+		n.ask(func(r uint64) core.Event { return core.EvAbort{Req: r, ID: id} }, done)
+	}, func(u core.EfUser) {
+		w.judge(id, u)
+		if t.told == "" {
+			w.after(time.Second, func() { w.Abort(id) })
+		}
+	})
+}
+
+// judge checks an answer against the rules that concern users.
+func (w *World) judge(id string, u core.EfUser) {
+	t := w.jobs[id]
+	switch u.Status {
+	case 404, 400, 422:
+		if t.accepted {
+			w.broke("forgotten", "%s got %d", id, u.Status)
+		}
+		return
+	case 200, 201:
+	default:
+		return
+	}
+	if !t.asked {
+		w.broke("invented", "%s", id)
+	}
+	t.accepted = true
+	if t.told != "" && u.State != t.told {
+		w.broke("went_back", "%s: %s after %s", id, u.State, t.told)
+	}
+	switch u.State {
+	case "done":
+		if len(t.done) < t.spec.N {
+			w.broke("not_done", "%s: %d of %d", id, len(t.done), t.spec.N)
+		}
+	case "cancelled":
+		if !t.cancelAsk {
+			w.broke("went_back", "%s cancelled though nobody asked", id)
+		}
+		if t.cancelAt < 0 {
+			t.cancelAt = w.Now
+		}
+	default:
+		return
+	}
+	if t.told == "" {
+		t.told = u.State
+		w.log("%s is told %s", id, u.State)
+	}
+}
+
+// Unfinished lists accepted jobs that are not over.
+func (w *World) Unfinished() []string {
+	var l []string
+	for id, t := range w.jobs {
+		if t.accepted && t.told == "" && t.spec.Shape != core.Service {
+			l = append(l, id)
+		}
+	}
+	sort.Strings(l)
+	return l
+}
+
+// Starts counts task starts in the trace.
+func (w *World) Starts() int {
+	n := 0
+	for _, l := range w.Trace {
+		if strings.Contains(l, " runs on ") {
+			n++
+		}
+	}
+	return n
+}
+
+// checkPlaces checks quota and cancelled work; called whenever a task comes on
+// a machine and every second.
+func (w *World) checkPlaces() {
+	used := map[string]core.Res{}
+	for _, k := range w.workers {
+		if k.gone {
+			continue
+		}
+		for _, id := range k.ids() {
+			x := k.tasks[id]
+			if !x.on() {
+				continue
+			}
+			t := w.jobs[id.Job]
+			used[t.spec.Team] = used[t.spec.Team].Plus(t.spec.Need, 1)
+			if t.cancelAt >= 0 && w.Now-t.cancelAt > w.set.Cancel && !t.reported(w, "ran_cancelled") {
+				w.broke("ran_cancelled", "%v on %s", id, k.name)
+			}
+		}
+	}
+	for _, team := range []string{"red", "blue"} {
+		lim := w.set.Teams[team].Max
+		if lim.GPU > 0 && used[team].GPU > lim.GPU {
+			w.broke("quota", "%s uses %d of %d", team, used[team].GPU, lim.GPU)
+		}
+	}
+}
+
+func (t *truth) reported(w *World, rule string) bool {
+	return slices.ContainsFunc(w.Broken, func(s string) bool {
+		return strings.HasPrefix(s, rule) && strings.Contains(s, t.spec.ID)
+	})
+}
--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,171 @@
+package standin
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the kept traces anew")
+
+// TestKeptTraces plays each script in testdata and compares what happened with
+// the trace kept below it. The traces are for reading: each tells one story.
+func TestKeptTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) < 8 {
+		t.Fatalf("kept traces: %d, %v", len(files), err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".trace"), func(t *testing.T) {
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			script, want, _ := strings.Cut(string(b), "\n----\n")
+			w, err := Play(script)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(w.Broken) > 0 {
+				t.Errorf("broken rules: %v", w.Broken)
+			}
+			if u := w.Unfinished(); len(u) > 0 {
+				t.Errorf("not finished: %v", u)
+			}
+			got := strings.Join(w.Trace, "\n") + "\n"
+			if *update {
+				if err := os.WriteFile(f, []byte(script+"\n----\n"+got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if got != want {
+				g, x := strings.Split(got, "\n"), strings.Split(want, "\n")
+				for i := range g {
+					if i >= len(x) || g[i] != x[i] {
+						t.Fatalf("trace differs at line %d:\n got %q\nwant %q", i+1, g[i], append(x, "(end)")[min(i, len(x))])
+					}
+				}
+				t.Fatalf("trace ends early, after %d of %d lines", len(g), len(x))
+			}
+		})
+	}
+}
+
+// day makes a random day of jobs and overlapping troubles.
+func day(seed uint64, drop string) string {
+	r := rand.New(rand.NewPCG(seed, 99))
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d\n", seed)
+	if drop != "" {
+		fmt.Fprintf(&b, "drop %s\n", drop)
+	}
+	team := []string{"red", "blue"}
+	for i := 0; i < 22; i++ {
+		at := 1 + r.IntN(160)
+		id := fmt.Sprintf("job-%06d", 100+i)
+		switch r.IntN(6) {
+		case 0:
+			fmt.Fprintf(&b, "at %d submit %s gang %d %s run=%d gpu=2 ckpt=10\n", at, id, 1+r.IntN(3), team[r.IntN(2)], 10+r.IntN(30))
+		case 1:
+			fmt.Fprintf(&b, "at %d submit %s gang 2 blue run=%d gpu=1 onezone spot\n", at, id, 10+r.IntN(20))
+		default:
+			fmt.Fprintf(&b, "at %d submit %s array %d %s run=%d spot\n", at, id, 1+r.IntN(9), team[r.IntN(2)], 5+r.IntN(40))
+		}
+		if r.IntN(5) == 0 {
+			fmt.Fprintf(&b, "at %d cancel %s\n", at+2+r.IntN(40), id)
+		}
+	}
+	node := func() string { return fmt.Sprintf("c-%d", r.IntN(3)) }
+	mode := func() string { return []string{"drop", "hold"}[r.IntN(2)] }
+	for i := 0; i < 9; i++ {
+		at := 30 + r.IntN(130)
+		m := fmt.Sprintf("n-%06d", 1+r.IntN(10))
+		switch r.IntN(11) {
+		case 0:
+			fmt.Fprintf(&b, "at %d crash %s back=%.1f\n", at, node(), []float64{0.2, 4}[r.IntN(2)])
+		case 1:
+			fmt.Fprintf(&b, "at %d crash all back=3\n", at)
+		case 2:
+			fmt.Fprintf(&b, "at %d cut %s state %s for=%d\n", at, node(), mode(), 5+r.IntN(40))
+		case 3:
+			fmt.Fprintf(&b, "at %d cut %s * %s for=%d\n", at, node(), mode(), 5+r.IntN(40))
+		case 4:
+			fmt.Fprintf(&b, "at %d cut c-0 c-1 %s for=30\nat %d cut c-1 c-2 %s for=25\n", at, mode(), at+2, mode())
+		case 5:
+			fmt.Fprintf(&b, "at %d state down for=%d\n", at, 3+r.IntN(30))
+		case 6:
+			fmt.Fprintf(&b, "at %d state refuse %s for=%d\n", at, node(), 5+r.IntN(40))
+		case 7:
+			fmt.Fprintf(&b, "at %d cloud down for=30\n", at)
+		case 8:
+			fmt.Fprintf(&b, "at %d hang %s for=%d\n", at, m, 5+r.IntN(30))
+		case 9:
+			fmt.Fprintf(&b, "at %d take %s\n", at, m)
+		case 10:
+			fmt.Fprintf(&b, "at %d notice %s in=6\n", at, m)
+		}
+	}
+	b.WriteString("until 600\n")
+	return b.String()
+}
+
+// TestRandomDays plays days of overlapping troubles: no rule may be broken, and
+// every accepted job must come to its end.
+func TestRandomDays(t *testing.T) {
+	starts := 0
+	for seed := uint64(1); seed <= 16; seed++ {
+		s := day(seed, "")
+		w, err := Play(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		starts += w.Starts()
+		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
+		}
+	}
+	if starts < 800 {
+		t.Errorf("only %d tasks started", starts)
+	}
+}
+
+// TestCheckerBites takes one guard away at a time: the same days must then
+// break the rule that the guard keeps.
+func TestCheckerBites(t *testing.T) {
+	for guard, rule := range map[string]string{"proof": "ran_twice", "quota": "quota", "fence": "ran_twice"} {
+		t.Run(guard, func(t *testing.T) {
+			for seed := uint64(1); seed <= 40; seed++ {
+				w, err := Play(day(seed, guard))
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, b := range w.Broken {
+					if strings.HasPrefix(b, rule) {
+						return
+					}
+				}
+			}
+			t.Errorf("without guard %s no day broke %s", guard, rule)
+		})
+	}
+}
+
+// TestSameDayTwice: a day plays the same way each time.
+func TestSameDayTwice(t *testing.T) {
+	a, err := Play(day(3, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := Play(day(3, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Join(a.Trace, "\n") != strings.Join(b.Trace, "\n") {
+		t.Error("two plays of one day differ")
+	}
+}
