--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -39,7 +39,8 @@
 	backoff   time.Duration
 	hold      map[string]bool
 	evict     map[string]bool
-	rest      map[string]bool // no new tasks: the cheaper machines suffice
+	ranWhole  map[string]time.Duration // when a whole job was last seen there
+	rest      map[string]bool          // no new tasks: the cheaper machines suffice
 	idle      map[string]time.Duration
 	decideAt  time.Duration
 	flavAt    time.Duration
@@ -63,7 +64,7 @@
 	n := f.hireN
 	*f = fleet{
 		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
-		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, rest: map[string]bool{},
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, ranWhole: map[string]time.Duration{}, rest: map[string]bool{},
 		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
 	}
 }
@@ -277,7 +278,7 @@
 			if f.hold[k.Name] {
 				keep = tuning.IdleKeepWhole
 			}
-			if since, ok := f.idle[k.Name]; ok && c.now-since > keep && !c.wanted(k, pend) {
+			if since, ok := f.idle[k.Name]; ok && c.now-since > keep && (f.rest[k.Name] || !c.wanted(k, pend)) {
 				c.mark(k.Name, MachineMark{MarkDrain, WhyIdle})
 			}
 		}
@@ -304,6 +305,7 @@
 	for n, t := range c.st.teams {
 		used[n] = t.Used
 	}
+	claims := c.claims()
 	var l []need
 	for _, j := range c.st.open {
 		sp := j.H.Spec
@@ -315,7 +317,7 @@
 		}
 		lim := c.cfg.Teams[sp.Team].Max
 		n := 0
-		for n < j.nQ && n < 2000 && within(used[sp.Team].Plus(sp.Need, 1), lim) {
+		for n < j.nQ && n < 2000 && within(used[sp.Team].Plus(sp.Need, 1), lim) && claims[sp.Team].allows(sp, used[sp.Team], lim) {
 			used[sp.Team] = used[sp.Team].Plus(sp.Need, 1)
 			n++
 		}
@@ -366,6 +368,9 @@
 			ok := true
 			for id := range c.st.byMach[k.Name] {
 				sp := c.st.jobs[id.Job].H.Spec
+				if sp != nil && whole(sp) {
+					f.ranWhole[k.Name] = c.now
+				}
 				if sp == nil || whole(sp) || sp.Shape == Service {
 					ok = false
 					break
@@ -384,6 +389,16 @@
 		sort.SliceStable(cs, func(a, b int) bool { return cs[a].wait < cs[b].wait })
 		idle := 0
 		for _, x := range cs {
+			// It has the image, and the next such job is likely soon.
+			if at, was := f.ranWhole[x.k.Name]; was && x.k.busy == 0 && c.now-at < tuning.HoldAfter {
+				f.hold[x.k.Name] = true
+				idle++
+			}
+		}
+		for _, x := range cs {
+			if f.hold[x.k.Name] {
+				continue
+			}
 			if len(f.hold) >= n {
 				break
 			}
@@ -447,6 +462,8 @@
 		if old[k.Name] {
 			p *= tuning.RestSticky
 		}
+		// Among equals those with little to run go empty first.
+		p *= 1.1 - 0.1*min(float64(k.busy), 10)/10
 		cs = append(cs, cand{k, p})
 	}
 	for _, p := range c.pending() {
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -29,11 +29,28 @@
 		return x.Prio > y.Prio
 	})
 	ms := c.inventory()
-	for _, j := range js {
-		if !c.bookWhole(d, j, ms) {
-			return
+	// First those whose image is on a machine with room: a fetch takes a good
+	// part of a run, and holds the team's limit as long.
+	for _, cached := range [2]bool{true, false} {
+		for _, j := range js {
+			if cached && !c.cachedSomewhere(d, j.H.Spec, ms) {
+				continue
+			}
+			if !c.bookWhole(d, j, ms) {
+				return
+			}
+		}
+	}
+}
+
+func (c *Core) cachedSomewhere(d *draft, sp *Spec, ms []inv) bool {
+	for _, m := range ms {
+		if f := c.flavor(m.typ); f != nil && m.images[sp.Image] && c.fits(sp, m.typ, m.zone, m.spot) &&
+			c.free(m.name, f.Size, d).Holds(sp.Need) {
+			return true
 		}
 	}
+	return false
 }
 
 // pick is a task put on a machine.
@@ -45,7 +62,7 @@
 // bookWhole adds a job's bookings to the draft; false: the draft is full.
 func (c *Core) bookWhole(d *draft, j *Job, ms []inv) bool {
 	sp := j.H.Spec
-	if sp.Shape == Gang && j.nQ < sp.N {
+	if sp.Shape == Gang && j.nQ < sp.N || d.changed[TaskID{j.ID, 0}] && sp.Shape == Gang {
 		return true // some of the old attempt are not proven off yet
 	}
 	zones := map[string]int{}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -462,7 +462,12 @@
 	if !within(used.Plus(sp.Need, 1), lim) {
 		return false
 	}
-	x := claims[sp.Team]
+	return claims[sp.Team].allows(sp, used, lim)
+}
+
+// allows tells whether one more small task leaves the waiting whole jobs all
+// that they could have of the team's limit.
+func (x claim) allows(sp *Spec, used, lim Res) bool {
 	if x.jobs == 0 || whole(sp) {
 		return true
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -159,6 +159,8 @@
 	ListEvery = 4 * time.Second
 	// FleetEvery is the pause between decisions of the leader.
 	FleetEvery = 500 * time.Millisecond
+	// HoldAfter is how long a machine stays held after a whole job ran there.
+	HoldAfter = 10 * time.Second
 	// WholeMemory is how long after its last job a class of whole jobs still
 	// has machines kept for it.
 	WholeMemory = 150 * time.Second
