--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// packCost makes draws prefer fuller machines among those where a task starts
+// at once: it runs as fast on any of them, but a machine that stays empty can
+// be returned, and a full one fetches each image once for many.
+func (c *Core) packCost(m *Machine, f *Flavor, sp *Spec) float64 {
+	all := f.Size.Times(sp.Need, 64)
+	room := c.free(m.Name, f.Size, nil).Times(sp.Need, 64) - int64(c.queueLen(m))
+	if room <= 0 || all == 0 {
+		return 0
+	}
+	return tuning.PackRuns * c.runTime(sp) * float64(room) / float64(all)
+}
+
 func (c *Core) queueLen(m *Machine) int {
 	n := 0
 	for _, id := range m.queue {
@@ -336,13 +348,13 @@
 	tier  int       // the aim it is put down for; len(goals): none
 }
 
-// left is the time until the aim the job is put down for; jobs beyond all
-// their aims go by work, the least first.
+// left is the time until the aim the job is put down for; beyond all aims the
+// longest tasks go first, since they make the tail.
 func (x *urgent) left() float64 {
 	if x.tier < len(x.goals) {
 		return x.goals[x.tier]
 	}
-	return x.work
+	return -x.run
 }
 
 // assignTiers puts each job down for the first aim that it can meet beside the
@@ -426,6 +438,7 @@
 		if _, ok := m.images[sp.Image]; !ok && f.Fetch > 0 {
 			x.cost = sp.ImageGB / f.Fetch
 		}
+		x.cost += c.packCost(m, f, sp)
 		cs = append(cs, x)
 	}
 	// A task is passed once at most, so that it can't wander.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -144,6 +144,9 @@
 	// QueueDepth is how many tasks a machine's queue takes beyond those that
 	// fit at once; the rest is held back in the part's pool.
 	QueueDepth = 1
+	// PackRuns is, in run times, what an empty machine costs a draw beside a
+	// nearly full one; more than one outweighs the loads' difference.
+	PackRuns = 2.0
 	// QueueAhead in seconds of expected delay is how far queues reach before
 	// tasks rather wait unplaced; new machines may then take them.
 	QueueAhead = 600.0
