--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -45,6 +45,7 @@
 	decideAt  time.Duration
 	flavAt    time.Duration
 	flavBusy  bool
+	tellAt    time.Duration
 	wholeSeen map[string]wholeSeen
 }
 
@@ -474,6 +475,30 @@
 	grow := func(x int64) int64 { return x + x*tuning.HeadroomPercent/100 }
 	want = Res{grow(want.CPU), grow(want.GPU), grow(want.Mem)}
 	sort.SliceStable(cs, func(a, b int) bool { return cs[a].price < cs[b].price })
+	if c.now >= f.tellAt {
+		f.tellAt = c.now + tuning.FleetTell
+		busy := ""
+		for _, k := range c.machines() {
+			tag := ""
+			if f.hold[k.Name] {
+				tag = "h"
+			}
+			if old[k.Name] {
+				tag += "r"
+			}
+			if k.mark.State != "" {
+				tag += "d"
+			}
+			if !k.up {
+				tag += "-"
+			}
+			if k.Spot {
+				tag += "s"
+			}
+			busy += fmt.Sprintf(" %d%s", k.busy, tag)
+		}
+		c.log(2, "fleet", "want", want, "tasks_by_machine", busy)
+	}
 	var have Res
 	for _, x := range cs {
 		if have.Holds(want) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -257,7 +257,7 @@
 	}
 }
 
-// packCost makes draws prefer fuller machines among those where a task starts
+// packCost makes draws prefer fuller and cheaper machines among those where a task starts
 // at once: it runs as fast on any of them, but a machine that stays empty can
 // be returned, and a full one fetches each image once for many.
 func (c *Core) packCost(m *Machine, f *Flavor, sp *Spec) float64 {
@@ -266,7 +266,22 @@
 	if room <= 0 || all == 0 {
 		return 0
 	}
-	return tuning.PackRuns * c.runTime(sp) * float64(room) / float64(all)
+	cheap := math.Inf(1)
+	for i := range c.st.flavors {
+		if fl := &c.st.flavors[i]; c.typeFits(sp, fl) {
+			k := float64(max(fl.Size.Times(sp.Need, 64), 1))
+			cheap = min(cheap, fl.Price/k)
+			if sp.Spot {
+				cheap = min(cheap, fl.Spot/k)
+			}
+		}
+	}
+	price := f.Price
+	if m.Spot {
+		price = f.Spot
+	}
+	dear := min(price/float64(all)/cheap, tuning.DearMost)
+	return c.runTime(sp) * (tuning.PackRuns*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
 }
 
 func (c *Core) queueLen(m *Machine) int {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -147,6 +147,10 @@
 	// PackRuns is, in run times, what an empty machine costs a draw beside a
 	// nearly full one; more than one outweighs the loads' difference.
 	PackRuns = 2.0
+	// DearRuns is, in run times, what a machine at twice the least price for
+	// the task costs a draw; DearMost bounds the multiple.
+	DearRuns = 1.0
+	DearMost = 4.0
 	// QueueAhead in seconds of expected delay is how far queues reach before
 	// tasks rather wait unplaced; new machines may then take them.
 	QueueAhead = 600.0
@@ -160,6 +164,8 @@
 const (
 	// ListEvery is the pause between machine lists.
 	ListEvery = 4 * time.Second
+	// FleetTell is the pause between the leader's log lines about its fleet.
+	FleetTell = 10 * time.Second
 	// FleetEvery is the pause between decisions of the leader.
 	FleetEvery = 500 * time.Millisecond
 	// HoldAfter is how long a machine stays held after a whole job ran there.
@@ -171,7 +177,7 @@
 	// machines don't take turns.
 	RestSticky = 1.2
 	// HeadroomPercent of what runs is kept free on top before machines rest.
-	HeadroomPercent = 25
+	HeadroomPercent = 8
 	// HoldBonus in seconds favours machines already held over others.
 	HoldBonus = 10.0
 	// RentMost is the largest count of one rental, by the protocol.
