--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -169,7 +169,9 @@
 		most = max(most, v)
 	}
 	mean /= float64(len(x))
-	imb := imbalance(x)
+	// The payoff sums over all pairs, so it grows with the number of machines;
+	// critic and payoff both take it per machine, or fixed rates diverge.
+	imb := imbalance(x) / float64(len(x))
 	s := tuning.LoadScale
 	return []float64{1, mean * s, imb * s, most * s}, imb
 }
@@ -232,7 +234,7 @@
 	}
 	f, imb := features(x)
 	if l.last != nil && c.cfg.Learn {
-		phi := (-imb - tuning.PassCost*float64(passes)) * tuning.LoadScale
+		phi := (-imb - tuning.PassCost*float64(passes)/float64(max(len(x), 1))) * tuning.LoadScale
 		delta := phi + tuning.Gamma*dot(l.theta, f) - dot(l.theta, l.last)
 		for i := range l.theta {
 			l.theta[i] += tuning.CriticRate * delta * l.last[i]
