--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -318,8 +318,8 @@
 		if j.nQ == 0 || whole(sp) || int64(c.now) < j.hold {
 			continue
 		}
-		x := &urgent{j: j, owed: owed, run: c.runTime(sp)}
-		x.work = float64(j.nQ) * x.run / c.slots(sp)
+		x := &urgent{j: j, owed: owed, run: c.runTime(sp) + tuning.StartLag}
+		x.work = float64(j.nQ) * c.runTime(sp) / c.slots(sp)
 		if sp.Due > 0 {
 			for _, k := range c.cfg.Dues {
 				x.goals = append(x.goals, sp.Due*k-age)
@@ -418,7 +418,7 @@
 func (c *Core) slots(sp *Spec) float64 {
 	n := int64(0)
 	for name, m := range c.mach {
-		if f := c.flavor(m.Type); f != nil && c.owns(name) && c.bookable(m) && c.fits(sp, m.Type, m.Zone, m.Spot) {
+		if f := c.flavor(m.Type); f != nil && c.owns(name) && c.bookable(m) && !c.kept(name) && c.fits(sp, m.Type, m.Zone, m.Spot) {
 			n += f.Size.Times(sp.Need, 64)
 		}
 	}
@@ -427,7 +427,7 @@
 			continue
 		}
 		for _, m := range p.machines {
-			if f := c.flavor(m.Type); f != nil && !m.Recall && c.fits(sp, m.Type, m.Zone, m.Spot) {
+			if f := c.flavor(m.Type); f != nil && !m.Recall && !c.kept(m.Name) && c.fits(sp, m.Type, m.Zone, m.Spot) {
 				n += f.Size.Times(sp.Need, 64)
 			}
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -151,6 +151,9 @@
 	// the task costs a draw; DearMost bounds the multiple.
 	DearRuns = 1.0
 	DearMost = 4.0
+	// StartLag in seconds is what passes, besides its run, between a task's
+	// booking and its committed end: check-ins, part of a fetch, reports.
+	StartLag = 8.0
 	// QueueAhead in seconds of expected delay is how far queues reach before
 	// tasks rather wait unplaced; new machines may then take them.
 	QueueAhead = 600.0
