--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -544,8 +544,9 @@
 		free Res
 	}
 	var slots []slot
+	leaving := c.leaving()
 	for _, k := range c.machines() {
-		if k.mark.State != "" || k.Status == "failed" || !k.up && k.Status == "running" && k.busy > 0 {
+		if k.mark.State != "" || leaving[k.Name] || k.Status == "failed" || !k.up && k.Status == "running" && k.busy > 0 {
 			continue
 		}
 		slots = append(slots, slot{k, k.free})
@@ -620,6 +621,28 @@
 	}
 }
 
+// leaving are the machines that the cloud takes back soon, or that take no
+// bookings for another reason their owners see.
+func (c *Core) leaving() map[string]bool {
+	l := map[string]bool{}
+	for name, m := range c.mach {
+		if c.owns(name) && m.recallAt >= 0 {
+			l[name] = true
+		}
+	}
+	for _, p := range c.peers {
+		if c.now-p.at > 4*tuning.DrawEvery {
+			continue
+		}
+		for _, m := range p.machines {
+			if m.Recall {
+				l[m.Name] = true
+			}
+		}
+	}
+	return l
+}
+
 // cheapest is the kind with the least price per task of which n are left.
 func (c *Core) cheapest(sp *Spec, n int) (option, bool) {
 	best, bestP, found := option{}, math.Inf(1), false
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -148,6 +148,7 @@
 	}
 	attempt := uint64(0)
 	if sp.Shape == Gang {
+		attempt = j.H.Halt
 		for i := range j.Tasks {
 			attempt = max(attempt, j.Tasks[i].Attempt)
 		}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -240,6 +240,9 @@
 		if s, ok := m.tasks[id]; ok && s.Attempt == t.Attempt {
 			continue
 		}
+		if j.H.Halt >= t.Attempt && j.H.Halt > 0 {
+			continue
+		}
 		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] || m.recallAt >= 0 || c.evicted(m.Name) && !whole(j.H.Spec) || !c.gangWhole(j, t) {
 			continue
 		}
@@ -262,6 +265,12 @@
 		return o, s.State != SeenSaving
 	}
 	mark := c.st.marks[m.Name]
+	if sp.Shape == Gang && sp.N > 1 {
+		// Its progress is saved only if all are told together: the header
+		// tells every owner (planHalts).
+		o.Leeway = sp.Save + 2
+		return o, j.H.Halt >= t.Attempt && s.State != SeenSaving
+	}
 	switch {
 	case c.evicted(m.Name) && !whole(sp):
 		o.Leeway = sp.Save + 2
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -145,6 +145,7 @@
 	c.dirty = false
 	d := c.newDraft()
 	c.planReleases(d)
+	c.planHalts(d)
 	c.planGangs(d)
 	c.planBookings(d)
 	c.planHandover(d)
@@ -224,7 +225,7 @@
 			// has lost its sense.
 			if !there && !c.doomed[doom{id, t.Attempt}] && m.shift == t.Shift && m.deadShift < t.Shift && mark.State != MarkGone &&
 				j.H.State == JobOpen && m.recallAt < 0 && mark.State == "" && c.gangWhole(j, t) &&
-				!(c.evicted(name) && !whole(j.H.Spec)) {
+				!(c.evicted(name) && !whole(j.H.Spec)) && (j.H.Halt == 0 || j.H.Halt < t.Attempt) {
 				continue
 			}
 			if !d.room(j, id.I, done) {
@@ -265,6 +266,32 @@
 	}
 }
 
+// planHalts asks for the orderly stop of gangs that have a task on a machine
+// about to be taken away: the header carries it to all owners, which halt
+// their tasks well within gang_peer_s of each other.
+func (c *Core) planHalts(d *draft) {
+	for _, name := range slices.Sorted(maps.Keys(c.st.byMach)) {
+		m := c.mach[name]
+		if m == nil || !c.owns(name) {
+			continue
+		}
+		mark := c.st.marks[name]
+		if m.recallAt < 0 && !(mark.State == MarkDrain && mark.Why == WhySick) {
+			continue
+		}
+		for _, id := range sortedTasks(c.st.byMach[name]) {
+			j := c.st.jobs[id.Job]
+			sp := j.H.Spec
+			t := j.task(id.I)
+			if sp == nil || sp.Shape != Gang || sp.N == 1 || j.H.State != JobOpen || j.H.Halt >= t.Attempt ||
+				d.ops() >= c.cfg.TxnOps {
+				continue
+			}
+			d.head(j).Halt = t.Attempt
+		}
+	}
+}
+
 // noteEnd learns from a task's end once it is committed.
 func (c *Core) noteEnd(d *draft, m *Machine, j *Job, id TaskID, s Seen) {
 	sp := j.H.Spec
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -85,6 +85,7 @@
 	Order  uint64   `json:"q,omitempty"` // ledger when accepted: first come
 	Chunk  int      `json:"ch,omitempty"`
 	Chunks int      `json:"dc,omitempty"` // chunks with every task done
+	Halt   uint64   `json:"h,omitempty"`  // gangs: attempts up to it are to stop, all tasks together
 	Clean  bool     `json:"cl,omitempty"` // cancelled and every booking released
 }
 
