--- /dev/null
+++ b/internal/api/server_test.go
@@ -0,0 +1,65 @@
+package api
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"brassglade/internal/core"
+)
+
+// fake answers what its table says; a missing answer is a full stage.
+type fake struct {
+	answer core.Effect
+	asked  core.Event
+}
+
+func (f *fake) Ready() bool { return f.answer != nil }
+
+func (f *fake) Ask(_ bool, mk func(uint64) core.Event) (core.Effect, bool) {
+	f.asked = mk(1)
+	return f.answer, f.answer != nil
+}
+
+func TestAnswers(t *testing.T) {
+	for name, x := range map[string]struct {
+		method, path, body string
+		answer             core.Effect
+		code               int
+		want, retry        string
+	}{
+		"accepted":     {"POST", "/v1/jobs", good, core.EfUser{Status: 201, ID: "job-000412", State: "pending"}, 201, `{"NameId":"job-000412","Status":"pending","done":0,"running":0}`, ""},
+		"full stage":   {"POST", "/v1/jobs", good, nil, 503, `{"error":"busy"}`, "1"},
+		"not ready":    {"POST", "/v1/jobs", good, core.EfUser{Status: 503, Reason: "not ready"}, 503, `{"error":"not ready"}`, "1"},
+		"too large":    {"POST", "/v1/jobs", strings.Repeat(" ", 64<<10) + good, core.EfUser{Status: 201}, 400, "", ""},
+		"odd id":       {"GET", "/v1/jobs/x", "", core.EfUser{Status: 200}, 404, "", ""},
+		"poll":         {"GET", "/v1/jobs/job-000412", "", core.EfUser{Status: 200, ID: "job-000412", State: "running", Done: 3, Running: 13}, 200, `{"NameId":"job-000412","Status":"running","done":3,"running":13}`, ""},
+		"abort":        {"POST", "/v1/jobs/job-000412/abort", "", core.EfUser{Status: 200, ID: "job-000412", State: "cancelled"}, 200, `{"NameId":"job-000412","Status":"cancelled","done":0,"running":0}`, ""},
+		"up":           {"GET", "/up", "", core.EfUser{}, 200, `{}`, ""},
+		"not up":       {"GET", "/up", "", nil, 503, "", "1"},
+		"other owner":  {"POST", "/checkin", `{"Bracket":"n-1","Shift":1}`, core.EfCheckin{Status: 421, Owner: "c-2"}, 421, `{"Foreman":"c-2"}`, ""},
+		"not entitled": {"POST", "/checkin", `{"Bracket":"n-1","Shift":1}`, core.EfCheckin{Status: 503}, 503, "", "1"},
+		"orders": {"POST", "/checkin", `{"Bracket":"n-1","Shift":1}`, core.EfCheckin{Status: 200, Baton: 41, Orders: []core.Order{
+			{Verb: core.Run, Task: core.TaskID{Job: "job-000412", I: 4}, Attempt: 2},
+			{Verb: core.Halt, Task: core.TaskID{Job: "job-000377", I: 1}, Attempt: 1, Leeway: 10}}},
+			200, `{"Baton":41,"Orders":[{"Verb":"run","Piece":"job-000412/4","Try":2},{"Verb":"halt","Piece":"job-000377/1","Try":1,"LeewayS":10}]}`, ""},
+	} {
+		w := httptest.NewRecorder()
+		New(&fake{answer: x.answer}).Handler.ServeHTTP(w, httptest.NewRequest(x.method, x.path, strings.NewReader(x.body)))
+		if w.Code != x.code || x.want != "" && w.Body.String() != x.want || w.Header().Get("Retry-After") != x.retry {
+			t.Errorf("%s: %d %s, Retry-After %q", name, w.Code, w.Body, w.Header().Get("Retry-After"))
+		}
+	}
+}
+
+// TestMalformedReachesTheCoreWithItsId: an accepted job's repeat must get 200
+// even if it is malformed, which only the core can know.
+func TestMalformedReachesTheCoreWithItsId(t *testing.T) {
+	f := &fake{answer: core.EfUser{Status: 200, ID: "job-000412", State: "done"}}
+	w := httptest.NewRecorder()
+	New(f).Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(`{"NameId":"job-000412"}`)))
+	if e, ok := f.asked.(core.EvSubmit); !ok || e.ID != "job-000412" || e.Spec != nil || w.Code != 200 {
+		t.Errorf("asked %+v, answered %d", f.asked, w.Code)
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -231,6 +231,7 @@
 		loads[m.Name] = c.load(m)
 	}
 	c.poolRun = 0
+	room := c.newTeamRoom()
 	for _, j := range c.byUrgency() {
 		if j.Tasks == nil && c.partOf(j, Task{}) != c.cfg.Node {
 			continue
@@ -242,12 +243,14 @@
 			if t.State != Queued || c.placed[id] != "" || c.giveTo[id] != "" || c.partOf(j, t) != c.cfg.Node {
 				continue
 			}
-			if full || !c.place(j, id, t, mine, loads) {
+			if full || !room.fits(j.H.Spec) || !c.place(j, id, t, mine, loads) {
 				full = true
 				if f := c.anyFlavor(j.H.Spec); f != nil {
 					c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
 				}
+				continue
 			}
+			room.take(j.H.Spec)
 		}
 	}
 	c.stealLocal(mine)
@@ -435,6 +438,43 @@
 	return float64(max(n, 1))
 }
 
+// teamRoom is what teams may still start beside what is booked and queued
+// here. Tasks that can't start would fill the small queues and keep others
+// from idle machines.
+type teamRoom struct {
+	c      *Core
+	claims map[string]claim
+	used   map[string]Res
+}
+
+func (c *Core) newTeamRoom() *teamRoom {
+	r := &teamRoom{c, c.claims(), map[string]Res{}}
+	for n, t := range c.st.teams {
+		r.used[n] = t.Used
+	}
+	for _, name := range c.machNames() {
+		for _, id := range c.mach[name].queue {
+			j := c.st.jobs[id.Job]
+			if c.placed[id] != name || j == nil || j.H.Spec == nil {
+				continue
+			}
+			if !r.fits(j.H.Spec) {
+				c.unplace(id) // another part took the room meanwhile
+				continue
+			}
+			r.take(j.H.Spec)
+		}
+	}
+	return r
+}
+
+func (r *teamRoom) fits(sp *Spec) bool {
+	lim, used := r.c.cfg.Teams[sp.Team].Max, r.used[sp.Team]
+	return within(used.Plus(sp.Need, 1), lim) && r.claims[sp.Team].allows(sp, used, lim)
+}
+
+func (r *teamRoom) take(sp *Spec) { r.used[sp.Team] = r.used[sp.Team].Plus(sp.Need, 1) }
+
 // place draws the target of one arrival. False: nothing can take it now.
 func (c *Core) place(j *Job, id TaskID, t Task, mine []*Machine, loads map[string]float64) bool {
 	sp := j.H.Spec
