--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,7 @@
 	fenceAt     time.Duration // sending time of the newest confirmation, < 0: none
 	readAt      time.Duration // sending time of the newest read index reached
 	stateOK     bool
+	watchSent   time.Duration // of the watch being applied; < 0: none
 
 	// commits
 	nextID   uint64
@@ -107,8 +108,8 @@
 // New returns a core for one incarnation; inc is unique among incarnations.
 func New(cfg Settings, inc string) *Core {
 	c := &Core{
-		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(inc))),
-		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1,
+		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Node))),
+		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1,
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
@@ -131,10 +132,12 @@
 		c.snapshot(e)
 		c.settleConfirms()
 	case EvWatch:
+		c.watchSent = e.Sent
 		for _, kv := range e.Items {
 			c.apply(kv)
 		}
 		c.st.ledger = max(c.st.ledger, e.Ledger)
+		c.watchSent = -1
 		c.settleConfirms()
 	case EvConfirm:
 		c.onConfirm(e)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -46,6 +46,7 @@
 	flavAt    time.Duration
 	flavBusy  bool
 	tellAt    time.Duration
+	unheard   map[string]time.Duration
 	wholeSeen map[string]wholeSeen
 }
 
@@ -65,7 +66,7 @@
 	n := f.hireN
 	*f = fleet{
 		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
-		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, ranWhole: map[string]time.Duration{}, rest: map[string]bool{},
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, unheard: map[string]time.Duration{}, ranWhole: map[string]time.Duration{}, rest: map[string]bool{},
 		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
 	}
 }
@@ -253,6 +254,7 @@
 	f := &c.fleet
 	ms := c.machines()
 	pend := c.pending()
+	fresh, leaving := c.peersFresh(), c.leaving()
 	for _, k := range ms {
 		fl := c.flavor(k.Type)
 		age := c.now - f.bornAt[k.Name]
@@ -264,12 +266,19 @@
 		} else if _, ok := f.idle[k.Name]; !ok {
 			f.idle[k.Name] = c.now
 		}
+		// A running machine that nobody hears, though every node is heard.
+		unheard := fresh && k.Status == "running" && !k.up && k.busy == 0 && !leaving[k.Name]
+		if !unheard {
+			delete(f.unheard, k.Name)
+		} else if _, ok := f.unheard[k.Name]; !ok {
+			f.unheard[k.Name] = c.now
+		}
 		switch {
 		case k.Status == "failed":
 			c.mark(k.Name, MachineMark{MarkDrain, WhyFailed})
 		case k.Status == "booting" && !k.up && age > time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
-		case k.Status == "running" && !k.up && k.busy == 0 && age > 90*time.Second+time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
+		case unheard && c.now-f.unheard[k.Name] > tuning.UnheardPatience:
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
 		case k.up && k.busy == 0 && age > tuning.MinHeld:
 			keep := tuning.IdleKeep
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -79,7 +79,7 @@
 	}
 	owner := c.st.view.owner(r.Machine)
 	if owner != c.cfg.Node {
-		c.noteBounce(r.Machine, owner)
+		c.noteBounce(r.Machine, owner, r.Baton)
 		c.emit(EfCheckin{Req: e.Req, Status: 421, Owner: owner})
 		return
 	}
@@ -372,6 +372,10 @@
 	}
 	var silent []*Machine
 	heard := 0
+	limit := tuning.Silent
+	if !c.peersFresh() {
+		limit = tuning.SilentCut
+	}
 	for _, n := range c.machNames() {
 		m := c.mach[n]
 		if !c.owns(n) {
@@ -398,7 +402,7 @@
 			}
 			c.dirty = true
 		}
-		if c.now-m.heard > tuning.Silent {
+		if c.now-m.heard > limit {
 			if mark.State == "" {
 				silent = append(silent, m)
 			}
@@ -423,6 +427,16 @@
 	}
 }
 
+// peersFresh tells whether all other serving nodes were heard just now.
+func (c *Core) peersFresh() bool {
+	for _, n := range c.st.view.Serving {
+		if p := c.peers[n]; n != c.cfg.Node && (p == nil || c.now-p.at > tuning.PeerFresh) {
+			return false
+		}
+	}
+	return true
+}
+
 // directHalts sends halts of cancelled work straight to the worker; they may
 // arrive late, which does no harm, and are repeated by check-ins.
 func (c *Core) directHalts(m *Machine) {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -102,12 +102,34 @@
 	d.machs[t.Machine] = true
 	d.team(j.H.Spec.Team, j.H.Spec.Need, -1)
 	t.Machine, t.Shift, t.Zone = "", 0, ""
+	t.State, t.Part = Queued, ""
 	if !done {
-		t.State, t.Part = Queued, ""
 		return
 	}
-	t.State, t.Part = Done, ""
-	// The last task of a chunk moves the header; the last chunk ends the job.
+	d.finish(j, i)
+	if j.H.Spec.Shape == Gang {
+		// They complete together: a mate whose own report was lost is done too.
+		for k := 0; k < j.H.N; k++ {
+			if o := d.peek(j, k); o.State == Queued {
+				d.finish(j, k)
+			}
+		}
+	}
+}
+
+// peek reads task i as the draft has it, without touching its chunk.
+func (d *draft) peek(j *Job, i int) Task {
+	if ch := d.chunks[keyChunk(j.ID, i/j.H.Chunk)]; ch != nil {
+		return ch[i%j.H.Chunk]
+	}
+	return j.task(i)
+}
+
+// finish marks a task done. The last task of a chunk moves the header; the
+// last chunk ends the job.
+func (d *draft) finish(j *Job, i int) {
+	t := d.task(j, i)
+	t.State = Done
 	for _, o := range d.chunks[keyChunk(j.ID, i/j.H.Chunk)] {
 		if o.State != Done {
 			return
@@ -125,6 +147,11 @@
 	}
 }
 
+// gangDone: one of the gang's tasks is done, hence all are.
+func gangDone(j *Job) bool {
+	return j.H.Spec.Shape == Gang && j.nD > 0
+}
+
 func (d *draft) head(j *Job) *Header {
 	h := d.heads[j.ID]
 	if h == nil {
@@ -220,7 +247,7 @@
 			}
 			s, there := m.tasks[id]
 			there = there && s.Attempt == t.Attempt && m.shift == t.Shift
-			done := there && s.State == SeenEnded && s.Cause == CauseDone
+			done := there && s.State == SeenEnded && s.Cause == CauseDone || gangDone(j)
 			// An undelivered run is simply sent again, unless the booking
 			// has lost its sense.
 			if !there && !c.doomed[doom{id, t.Attempt}] && m.shift == t.Shift && m.deadShift < t.Shift && mark.State != MarkGone &&
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -301,6 +301,7 @@
 	}
 	// EvWatch carries changes in order up to Ledger.
 	EvWatch struct {
+		Sent   time.Duration // when the watch was sent, on the core's clock; < 0: unknown
 		Items  []KV
 		Ledger uint64
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -12,8 +12,9 @@
 )
 
 type bounce struct {
-	at    time.Duration
-	owner string
+	at     time.Duration
+	owner  string
+	weight int
 }
 
 func enc(v any) []byte {
@@ -89,8 +90,9 @@
 func (c *Core) adoptView(v *View) {
 	old := c.st.view
 	c.st.view = v
-	// The confirmations so far were about the old view.
-	c.fenceAt = -1
+	// The confirmations so far were about the old view; the watch that brought
+	// this one shows that it held at some time after the watch was sent.
+	c.fenceAt = c.watchSent
 	// Continuous: this incarnation saw the view just before this one.
 	cont := old != nil && old.Epoch+1 == v.Epoch && old.Members[c.cfg.Node] == c.inc
 	names := map[string]bool{}
@@ -236,14 +238,20 @@
 }
 
 // noteBounce remembers that a worker was sent on to its owner.
-func (c *Core) noteBounce(machine, owner string) {
+// One that had an answer in this epoch has lost its owner for certain; another
+// may only just be looking for it.
+func (c *Core) noteBounce(machine, owner string, baton uint64) {
+	weight := 1
+	if baton == c.st.view.Epoch {
+		weight = tuning.BounceCount
+	}
 	keep := c.bounces[machine][:0]
 	for _, b := range c.bounces[machine] {
 		if c.now-b.at < tuning.BounceWindow && b.owner == owner {
 			keep = append(keep, b)
 		}
 	}
-	c.bounces[machine] = append(keep, bounce{c.now, owner})
+	c.bounces[machine] = append(keep, bounce{c.now, owner, weight})
 }
 
 // unreachable returns the owners that several workers can't reach, and single
@@ -255,10 +263,10 @@
 		owner := c.st.view.owner(m)
 		for _, b := range bs {
 			if c.now-b.at < tuning.BounceWindow && b.owner == owner {
-				n++
+				n += b.weight
 			}
 		}
-		if n > tuning.BounceCount {
+		if n >= tuning.BounceCount {
 			count[owner] = append(count[owner], m)
 		}
 		if n == 0 {
@@ -273,12 +281,10 @@
 		}
 		sort.Strings(count[o])
 		owned := 0
-		for m := range c.mach {
-			if c.st.view.owner(m) == o && c.st.marks[m].State != MarkGone {
-				owned++
-			}
+		if p := c.peers[o]; p != nil {
+			owned = len(p.machines)
 		}
-		if len(count[o]) >= tuning.UnreachableMachines && 2*len(count[o]) > owned {
+		if n := len(count[o]); n >= tuning.UnreachableMachines && 100*n > tuning.UnreachablePercent*owned {
 			nodes[o] = true
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,17 +59,13 @@
 		return err
 	}
 	inc := hex.EncodeToString(id[:])
-	var seed uint64
-	for _, b := range id {
-		seed = seed<<8 | uint64(b)
-	}
 	if m := s.Params.MachineLimits.RamMb; m > 0 {
 		debug.SetMemoryLimit(int64(m * tuning.MemoryShare * (1 << 20)))
 	}
 	debug.SetGCPercent(tuning.GCPercent)
 	share := tuning.BudgetShare / float64(len(s.Members)+1)
 	n := &Node{
-		start: time.Now(), core: core.New(s.Core(op, seed), inc), self: s.Member,
+		start: time.Now(), core: core.New(s.Core(op, tuning.Seed), inc), self: s.Member,
 		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
 		workers: make(chan ask, tuning.WorkerQueue), waiting: map[uint64]chan core.Effect{},
 		state:  state.New(s.External.State, s.Params.State.Rps*share, s.Params.State.WriteRps*share),
@@ -100,7 +96,7 @@
 			failed <- err
 		}
 	}()
-	go n.state.Watch(func(e core.Event) { n.events <- e })
+	go n.state.Watch(func() time.Duration { return time.Since(n.start) }, func(e core.Event) { n.events <- e })
 	go n.loop()
 	select {
 	case err := <-failed:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	flatbuffers "github.com/google/flatbuffers/go"
@@ -142,19 +143,32 @@
 	}
 }
 
+// run writes frames. The other side acknowledges each with a byte: after a cut
+// a connection can stay open and silent for good, and writes into it succeed.
 func (l *Link) run(addr string) {
 	var c net.Conn
-	var failed time.Time
+	var acked *atomic.Int64
+	var failed, first time.Time // first: oldest frame that may lack its byte
 	for p := range l.ch {
+		now := time.Now()
+		if c != nil && acked.Load() >= first.UnixNano() {
+			first = now
+		}
+		if c != nil && now.Sub(first) > tuning.PeerAck {
+			_ = c.Close()
+			c = nil
+		}
 		if c == nil {
-			if time.Since(failed) < tuning.PeerRetry {
+			if now.Sub(failed) < tuning.PeerRetry {
 				continue
 			}
-			var err error
-			if c, err = net.DialTimeout("tcp4", addr, tuning.PeerTimeout); err != nil {
-				c, failed = nil, time.Now()
+			n, err := net.DialTimeout("tcp4", addr, tuning.PeerTimeout)
+			if err != nil {
+				failed = time.Now()
 				continue
 			}
+			c, first, acked = n, time.Now(), &atomic.Int64{}
+			go readAcks(n, acked)
 		}
 		f := binary.LittleEndian.AppendUint32(make([]byte, 0, len(p)+4), uint32(len(p)))
 		_ = c.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout))
@@ -165,6 +179,17 @@
 	}
 }
 
+func readAcks(c net.Conn, at *atomic.Int64) {
+	var b [16]byte
+	for {
+		if _, err := c.Read(b[:]); err != nil {
+			_ = c.Close()
+			return
+		}
+		at.Store(time.Now().UnixNano())
+	}
+}
+
 // Serve accepts links and hands each message to take.
 func Serve(ln net.Listener, take func(from string, m core.PeerMsg)) error {
 	for {
@@ -195,6 +220,10 @@
 					return
 				}
 				take(from, m)
+				_ = c.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout))
+				if _, err := c.Write([]byte{1}); err != nil {
+					return
+				}
 			}
 		}()
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -404,6 +404,9 @@
 		k.do(func() {
 			if k.shift == shift && k.tasks[id] == t && t.state == core.SeenRunning {
 				j.done[id.I] = true
+				for i := 0; i < j.spec.N && j.spec.Shape == core.Gang; i++ {
+					j.done[i] = true // they complete together
+				}
 				k.end(id, t, core.CauseDone, false)
 			}
 		})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -363,6 +363,7 @@
 	if n.gen != g {
 		return
 	}
+	sent := n.now()
 	n.w.call(n.name, "state", tuning.WatchWait+tuning.StateTimeout, func(r func(any)) { n.w.st.watch(n.name, n.since, r) }, func(r any) {
 		if n.gen != g {
 			return
@@ -370,6 +371,7 @@
 		pause := tuning.ConfirmRetry
 		if ev, ok := r.(core.EvWatch); ok {
 			n.since = max(n.since, ev.Ledger)
+			ev.Sent = sent
 			n.step(ev)
 			pause = tuning.WatchGap
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -155,7 +155,7 @@
 }
 
 // Watch keeps the core's cache: a snapshot, then changes in order, for ever.
-func (c *Client) Watch(emit func(core.Event)) {
+func (c *Client) Watch(clock func() time.Duration, emit func(core.Event)) {
 	for {
 		since, err := c.snapshot(emit)
 		if err != nil {
@@ -163,7 +163,7 @@
 			continue
 		}
 		for {
-			next, again := c.changes(since, emit)
+			next, again := c.changes(since, clock, emit)
 			if again {
 				break
 			}
@@ -205,8 +205,9 @@
 }
 
 // changes waits for the next changes; again: a new snapshot is needed.
-func (c *Client) changes(since uint64, emit func(core.Event)) (next uint64, again bool) {
+func (c *Client) changes(since uint64, clock func() time.Duration, emit func(core.Event)) (next uint64, again bool) {
 	c.b.Wait(core.LaneView, 0)
+	sent := clock()
 	q := fmt.Sprintf("/watch?Starts=%s&Since=%d&WaitMs=%d", core.KeyRoot, since, tuning.WatchWait.Milliseconds())
 	st, out, err := c.watch.Do("GET", q, nil, tuning.WatchWait+tuning.StateTimeout)
 	if err != nil || st != 200 {
@@ -221,7 +222,7 @@
 		slog.Error("watch answer", "err", err)
 		return 0, true
 	}
-	ev := core.EvWatch{Ledger: w.Ledger}
+	ev := core.EvWatch{Sent: sent, Ledger: w.Ledger}
 	for _, x := range w.Events {
 		kv := core.KV{Key: x.Set, Value: bytes.Clone(x.V), Stamp: x.Stamp}
 		if x.Set == "" {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"brassglade/internal/core"
 )
@@ -88,12 +89,13 @@
 	if err != nil || since != 5 || len(got) != 1 || len(got[0].(core.EvSnapshot).Items) != 2 {
 		t.Fatalf("since %d, %v, %+v", since, err, got)
 	}
-	next, again := c.changes(since, func(e core.Event) { got = append(got, e) })
+	clock := func() time.Duration { return 3 * time.Second }
+	next, again := c.changes(since, clock, func(e core.Event) { got = append(got, e) })
 	w := got[1].(core.EvWatch)
-	if next != 8 || again || len(w.Items) != 2 || w.Items[0].Key != "b/j" || w.Items[1].Value != nil {
+	if next != 8 || again || w.Sent != clock() || len(w.Items) != 2 || w.Items[0].Key != "b/j" || w.Items[1].Value != nil {
 		t.Errorf("next %d, %v, %+v", next, again, w)
 	}
-	if _, again := c.changes(next, func(core.Event) {}); !again {
+	if _, again := c.changes(next, clock, func(core.Event) {}); !again {
 		t.Error("410 asks for no snapshot")
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -37,10 +37,16 @@
 	// within the window can't reach it.
 	BounceWindow = 14 * time.Second
 	BounceCount  = 2
+	// PeerFresh is the age up to which a peer's word shows that no cut lies
+	// between it and this node.
+	PeerFresh = 4 * time.Second
+	// UnreachablePercent of an owner's machines must bounce before it is taken
+	// off serving; fewer are given new owners one by one.
+	UnreachablePercent = 70
 	// UnreachableMachines bounced off one owner mean the owner is at fault.
 	UnreachableMachines = 2
 	// ReserveAfter is how long a node that was taken off serving stays off.
-	ReserveAfter = 20 * time.Second
+	ReserveAfter = 45 * time.Second
 )
 
 // Requests to the state service and the cloud.
@@ -91,6 +97,9 @@
 	// Silent is the silence after which a machine counts as lost, if most
 	// others of its owner still report.
 	Silent = 13 * time.Second
+	// SilentCut is the same while a peer is silent too: a cut may lie between,
+	// and machines beyond it find other owners meanwhile.
+	SilentCut = 27 * time.Second
 	// TakeoverSilence is added after a change of owner: the workers first
 	// have to find the new one.
 	TakeoverSilence = 12 * time.Second
@@ -193,6 +202,9 @@
 	NoCapacityMost = 20 * time.Second
 	// BootPatience times BootS is when a machine that still boots is given up.
 	BootPatience = 3.0
+	// UnheardPatience is how long a running machine may go unheard by all
+	// nodes, with all nodes heard from, before it is returned.
+	UnheardPatience = 45 * time.Second
 	// IdleKeep is how long an idle machine is kept.
 	IdleKeep = 20 * time.Second
 	// IdleKeepSpot is the same for spot machines, whose price is a fraction.
@@ -217,6 +229,8 @@
 	PeerQueue = 8
 	// PeerTimeout ends a connect or write to a peer.
 	PeerTimeout = time.Second
+	// PeerAck is how long a frame may lack its acknowledgement.
+	PeerAck = 4 * time.Second
 	// PeerRetry is the pause after a failed one.
 	PeerRetry = 500 * time.Millisecond
 	// PeerIdle closes a link that says nothing.
@@ -245,3 +259,7 @@
 	// answers after 4 s, so nothing later is of use to them.
 	AskPatience = 3500 * time.Millisecond
 )
+
+// Seed of the draws; the node's name is mixed in. Fixed, so that a day can be
+// played again.
+const Seed = 1
