A new session is not given up for the age of the old one's answer

Cause: a report in a new session, heard but not yet answered, left the last 200 as the lease's start; the owner gave the live session up, lost its workers, and on its return took their running tasks for proven off. Ruled out: late transactions, stale reports (Baton below the epoch), leader's bookings.

--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -27,6 +27,7 @@
 	ownEpoch uint64        // epoch at which this incarnation became owner
 	ownSince time.Duration // when it saw that
 	last200  time.Duration // when it last answered with 200; < 0: not yet
+	session  time.Duration // when this node first heard of session shift
 
 	// sent: check-in whose answer last carried the run of a booking
 	sent map[doom]uint64
@@ -150,6 +151,9 @@
 		c.log(2, "machine", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
 	}
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+	if !m.heardOnce || r.Shift > m.shift {
+		m.session = c.now
+	}
 	if m.heardOnce && r.Shift > m.shift {
 		c.log(1, "machine lost its lease", "machine", m.Name, "shift", r.Shift)
 		clear(m.images)
@@ -344,9 +348,12 @@
 	return false
 }
 
-// leaseOver tells whether no one can have renewed m's lease since too long.
+// leaseOver tells whether no one can have renewed m's lease since too long. A
+// session heard of may have begun just then: without that term a new session,
+// heard but not yet answered, would be given up for the age of the last one's
+// answer, and its live tasks started elsewhere later on.
 func (c *Core) leaseOver(m *Machine) bool {
-	from := max(m.ownSince+c.cfg.Fence, m.last200)
+	from := max(m.ownSince+c.cfg.Fence, m.last200, m.session)
 	lease := c.cfg.Lease + c.cfg.Lease/1000
 	return c.now > from+lease+tuning.DriftMargin
 }
@@ -391,16 +398,16 @@
 			}
 			continue
 		}
-		if len(c.st.byMach[n]) > 0 && m.shift > m.deadShift && c.leaseOver(m) {
-			c.log(1, "session given up", "machine", n, "shift", m.shift)
-			m.deadShift = max(m.shift, m.deadShift)
-			c.dirty = true
-		}
-		if !m.heardOnce && len(c.st.byMach[n]) > 0 && c.leaseOver(m) {
+		if len(c.st.byMach[n]) > 0 && c.leaseOver(m) {
+			dead := max(m.shift, m.deadShift)
 			for id := range c.st.byMach[n] {
-				m.deadShift = max(m.deadShift, c.st.jobs[id.Job].task(id.I).Shift)
+				dead = max(dead, c.st.jobs[id.Job].task(id.I).Shift)
+			}
+			if dead > m.deadShift {
+				c.log(1, "session given up", "machine", n, "shift", dead)
+				m.deadShift = dead
+				c.dirty = true
 			}
-			c.dirty = true
 		}
 		if c.now-m.heard > limit {
 			if mark.State == "" {
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -140,6 +140,7 @@
 	}
 	m.ownEpoch, m.ownSince, m.last200 = c.st.view.Epoch, c.now, -1
 	m.heard = c.now + tuning.TakeoverSilence
+	m.deadShift = 0 // another owner may have known better meanwhile
 	clear(m.sent)
 }
 
@@ -241,6 +242,7 @@
 // One that had an answer in this epoch has lost its owner for certain; another
 // may only just be looking for it.
 func (c *Core) noteBounce(machine, owner string, baton uint64) {
+	owner += "/" + c.st.view.Members[owner] // a new incarnation starts afresh
 	weight := 1
 	if baton == c.st.view.Epoch {
 		weight = tuning.BounceCount
@@ -261,8 +263,9 @@
 	for m, bs := range c.bounces {
 		n := 0
 		owner := c.st.view.owner(m)
+		inc := owner + "/" + c.st.view.Members[owner]
 		for _, b := range bs {
-			if c.now-b.at < tuning.BounceWindow && b.owner == owner {
+			if c.now-b.at < tuning.BounceWindow && b.owner == inc {
 				n += b.weight
 			}
 		}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -66,7 +66,7 @@
 	}
 	team := []string{"red", "blue"}
 	for i := 0; i < 22; i++ {
-		at := 1 + r.IntN(160)
+		at := 1 + r.IntN(220)
 		id := fmt.Sprintf("job-%06d", 100+i)
 		switch r.IntN(6) {
 		case 0:
@@ -74,7 +74,7 @@
 		case 1:
 			fmt.Fprintf(&b, "at %d submit %s gang 2 blue run=%d gpu=1 onezone spot\n", at, id, 10+r.IntN(20))
 		default:
-			fmt.Fprintf(&b, "at %d submit %s array %d %s run=%d spot\n", at, id, 1+r.IntN(9), team[r.IntN(2)], 5+r.IntN(40))
+			fmt.Fprintf(&b, "at %d submit %s array %d %s run=%d spot\n", at, id, 1+r.IntN(9), team[r.IntN(2)], 5+r.IntN(90))
 		}
 		if r.IntN(5) == 0 {
 			fmt.Fprintf(&b, "at %d cancel %s\n", at+2+r.IntN(40), id)
@@ -82,8 +82,8 @@
 	}
 	node := func() string { return fmt.Sprintf("c-%d", r.IntN(3)) }
 	mode := func() string { return []string{"drop", "hold"}[r.IntN(2)] }
-	for i := 0; i < 9; i++ {
-		at := 30 + r.IntN(130)
+	for i := 0; i < 12; i++ {
+		at := 30 + r.IntN(220)
 		m := fmt.Sprintf("n-%06d", 1+r.IntN(10))
 		switch r.IntN(11) {
 		case 0:
@@ -97,7 +97,7 @@
 		case 4:
 			fmt.Fprintf(&b, "at %d cut c-0 c-1 %s for=30\nat %d cut c-1 c-2 %s for=25\n", at, mode(), at+2, mode())
 		case 5:
-			fmt.Fprintf(&b, "at %d state down for=%d\n", at, 3+r.IntN(30))
+			fmt.Fprintf(&b, "at %d state down for=%d\n", at, 3+r.IntN(50))
 		case 6:
 			fmt.Fprintf(&b, "at %d state refuse %s for=%d\n", at, node(), 5+r.IntN(40))
 		case 7:
@@ -110,7 +110,7 @@
 			fmt.Fprintf(&b, "at %d notice %s in=6\n", at, m)
 		}
 	}
-	b.WriteString("until 600\n")
+	b.WriteString("until 900\n")
 	return b.String()
 }
 
@@ -118,7 +118,9 @@
 // every accepted job must come to its end.
 func TestRandomDays(t *testing.T) {
 	starts := 0
-	for seed := uint64(1); seed <= 16; seed++ {
+	// The last three broke ran_twice before new sessions were told from old
+	// ones (docs/incidents/own-day-sessions.md).
+	for _, seed := range []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 107, 132, 144} {
 		s := day(seed, "")
 		w, err := Play(s)
 		if err != nil {
