--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -470,6 +470,9 @@
 
 func (r *teamRoom) fits(sp *Spec) bool {
 	lim, used := r.c.cfg.Teams[sp.Team].Max, r.used[sp.Team]
+	if !r.c.guard(GuardQuota) {
+		return true
+	}
 	return within(used.Plus(sp.Need, 1), lim) && r.claims[sp.Team].allows(sp, used, lim)
 }
 
