--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,10 @@
 	fenceAt     time.Duration // sending time of the newest confirmation, < 0: none
 	readAt      time.Duration // sending time of the newest read index reached
 	stateOK     bool
+	usableAt    time.Duration // sending time of the last confirmation answered; < 0: none
+	downSince   time.Duration // since when others are the better choice; < 0: they aren't
+	up          bool          // what GET /up says
+	tellAt      time.Duration
 	watchSent   time.Duration // of the watch being applied; < 0: none
 
 	// commits
@@ -109,7 +113,7 @@
 func New(cfg Settings, inc string) *Core {
 	c := &Core{
 		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Node))),
-		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1,
+		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1,
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
@@ -181,6 +185,8 @@
 	c.driveView()
 	c.driveWaiters()
 	if c.synced {
+		c.tellPeers()
+		c.driveReady()
 		c.drivePlace()
 		c.drivePlan()
 		c.driveFleet()
@@ -317,6 +323,7 @@
 		c.failWaiters()
 		return
 	}
+	c.usableAt = c.confirmSent
 	c.confirms = append(c.confirms, confirm{c.confirmSent, e.Ledger, e.Same})
 	c.settleConfirms()
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -20,7 +20,39 @@
 func (c *Core) ready() bool { return c.fenceOK() && len(c.st.flavors) > 0 }
 
 // Ready is what GET /up answers.
-func (c *Core) Ready() bool { return c.ready() }
+func (c *Core) Ready() bool { return c.up }
+
+// usable tells whether the state service answered lately.
+func (c *Core) usable() bool {
+	return c.usableAt >= 0 && c.now-c.usableAt < tuning.UsableFor
+}
+
+// driveReady settles what GET /up says. A node that once was ready steps back
+// only when another one can take requests. While the state service answers
+// nobody, leaving the load balancer would help no user, and its pauses, which
+// double, would keep all nodes out after the outage; users are told at once
+// when to come back instead.
+func (c *Core) driveReady() {
+	if c.ready() && c.usable() {
+		c.up, c.downSince = true, -1
+		return
+	}
+	if !c.up {
+		return
+	}
+	better := false
+	for _, p := range c.peers {
+		better = better || p.usable && c.now-p.at < tuning.PeerFresh
+	}
+	switch {
+	case !better:
+		c.downSince = -1
+	case c.downSince < 0:
+		c.downSince = c.now
+	case c.now-c.downSince > tuning.StepBack:
+		c.up = false
+	}
+}
 
 func (c *Core) later(req uint64, why string) {
 	c.emit(EfUser{Req: req, Status: 503, Reason: why})
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -14,6 +14,7 @@
 type peerView struct {
 	at       time.Duration
 	epoch    uint64
+	usable   bool
 	load     float64
 	machines []PeerMachine
 	holds    map[string]bool
@@ -26,7 +27,7 @@
 		c.onSteal(e.From, m.Steal)
 		return
 	}
-	p := &peerView{at: c.now, epoch: m.Epoch, load: m.Load, machines: m.Machines, holds: map[string]bool{}, evict: map[string]bool{}}
+	p := &peerView{at: c.now, epoch: m.Epoch, usable: m.Usable, load: m.Load, machines: m.Machines, holds: map[string]bool{}, evict: map[string]bool{}}
 	for _, h := range m.Holds {
 		p.holds[h] = true
 	}
@@ -209,7 +210,6 @@
 	}
 	if c.now-c.drawAt >= tuning.DrawEvery/4 {
 		c.drawAt = c.now
-		c.tellPeers()
 		c.dirty = true
 		for _, m := range c.mach {
 			c.trim(m)
@@ -752,12 +752,18 @@
 	return l
 }
 
-// tellPeers sends this node's machines and loads.
+// tellPeers sends this node's machines and loads, and whether the state service
+// answers it.
 func (c *Core) tellPeers() {
-	msg := PeerMsg{Epoch: c.st.view.Epoch, Load: c.meanLoad()}
+	if c.now < c.tellAt || c.st.view == nil {
+		return
+	}
+	c.tellAt = c.now + tuning.DrawEvery/4
+	msg := PeerMsg{Epoch: c.st.view.Epoch, Load: c.meanLoad(), Usable: c.usable()}
+	acting := c.fenceOK()
 	for _, name := range c.machNames() {
 		m := c.mach[name]
-		if !c.owns(name) || !m.heardOnce || c.now-m.heard > tuning.Silent || c.st.marks[name].State == MarkGone ||
+		if !acting || !c.owns(name) || !m.heardOnce || c.now-m.heard > tuning.Silent || c.st.marks[name].State == MarkGone ||
 			m.shift <= m.deadShift {
 			continue
 		}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -402,6 +402,7 @@
 type PeerMsg struct {
 	Epoch    uint64
 	Load     float64 // mean load of the sender's machines, s
+	Usable   bool    // the state service answered the sender just now
 	Machines []PeerMachine
 	Holds    []string // machines that the leader holds for whole jobs
 	Evict    []string // of these, the ones to be emptied for work of higher priority
--- a/internal/peer/fb/Message.go
+++ b/internal/peer/fb/Message.go
@@ -132,8 +132,20 @@
 	return 0
 }
 
+func (rcv *Message) Usable() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Message) MutateUsable(n bool) bool {
+	return rcv._tab.MutateBoolSlot(18, n)
+}
+
 func MessageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func MessageAddFrom(builder *flatbuffers.Builder, from flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(from), 0)
@@ -165,6 +177,9 @@
 func MessageStartEvictVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func MessageAddUsable(builder *flatbuffers.Builder, usable bool) {
+	builder.PrependBoolSlot(7, usable, false)
+}
 func MessageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -75,6 +75,7 @@
 	fb.MessageAddMachines(b, machines)
 	fb.MessageAddHolds(b, holds)
 	fb.MessageAddEvict(b, evict)
+	fb.MessageAddUsable(b, m.Usable)
 	if m.Steal != nil {
 		fb.MessageAddSteal(b, steal)
 	}
@@ -93,7 +94,7 @@
 		return "", m, errors.New("short peer message")
 	}
 	r := fb.GetRootAsMessage(p, 0)
-	from, m.Epoch, m.Load = string(r.From()), r.Epoch(), r.Load()
+	from, m.Epoch, m.Load, m.Usable = string(r.From()), r.Epoch(), r.Load(), r.Usable()
 	for i := 0; i < r.MachinesLength(); i++ {
 		var x fb.Machine
 		r.Machines(&x, i)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,7 +9,7 @@
 
 func TestMessageRoundTrip(t *testing.T) {
 	m := core.PeerMsg{
-		Epoch: 7, Load: 12.5, Holds: []string{"n-1"}, Evict: []string{"n-2", "n-3"},
+		Epoch: 7, Load: 12.5, Usable: true, Holds: []string{"n-1"}, Evict: []string{"n-2", "n-3"},
 		Machines: []core.PeerMachine{{Name: "n-1", Addr: "10.0.0.1:9", Type: "g8", Zone: "a", Spot: true, Recall: true, Shift: 3,
 			Load: 1.5, Images: []string{"x", "y"}}, {Name: "n-2"}},
 		Steal: &core.Steal{Type: "g8", Zone: "b", Spot: true, Room: core.Res{CPU: 1, GPU: 2, Mem: 3}, Most: 4},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -231,6 +231,13 @@
 	PeerTimeout = time.Second
 	// PeerAck is how long a frame may lack its acknowledgement.
 	PeerAck = 4 * time.Second
+	// UsableFor is the age up to which an answered confirmation shows that the
+	// state service answers this node.
+	UsableFor = 3500 * time.Millisecond
+	// StepBack is how long another node must be the better choice before this
+	// one leaves the load balancer: in an outage for all, nodes notice it some
+	// time after each other.
+	StepBack = 2500 * time.Millisecond
 	// PeerRetry is the pause after a failed one.
 	PeerRetry = 500 * time.Millisecond
 	// PeerIdle closes a link that says nothing.
