--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,7 +2,6 @@
 package cloud
 
 import (
-	"fmt"
 	"net/url"
 
 	json "github.com/goccy/go-json"
@@ -134,6 +133,3 @@
 	st, _, err := c.w.Do("POST", "/rentals/return", body, tuning.CloudTimeout)
 	return core.EvReturned{Names: e.Names, OK: err == nil && st == 200}
 }
-
-// String tells the address, for logs.
-func (c *Client) String() string { return fmt.Sprintf("cloud client %p", c) }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -76,8 +76,6 @@
 const (
 	// PollPatience ends the wait of a poll for its read index; users wait 2 s.
 	PollPatience = 1200 * time.Millisecond
-	// SubmitPatience ends the wait for a submission's commit; users wait 5 s.
-	SubmitPatience = 2500 * time.Millisecond
 	// RetryAfterS is told to users who could not be served, in seconds.
 	RetryAfterS = 1
 	// UserQueue bounds the user requests waiting for the core; beyond it the
@@ -163,9 +161,6 @@
 	// StartLag in seconds is what passes, besides its run, between a task's
 	// booking and its committed end: check-ins, part of a fetch, reports.
 	StartLag = 8.0
-	// QueueAhead in seconds of expected delay is how far queues reach before
-	// tasks rather wait unplaced; new machines may then take them.
-	QueueAhead = 600.0
 	// HandoverMost bounds the tasks of one steal.
 	HandoverMost = 8
 	// GangHold is how long the leader keeps room for a gang that doesn't fit.
@@ -219,8 +214,6 @@
 	MinHeld = 60 * time.Second
 	// FlavorsEvery refreshes prices.
 	FlavorsEvery = 60 * time.Second
-	// WaitPerRent in seconds: expected waits over it count as lack of machines.
-	WaitPerRent = 12.0
 )
 
 // Peers and connections.
