--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,12 +81,35 @@
 	give    []TaskID // tasks to hand over, with c.giveTo
 	giveTo  map[TaskID]string
 	runs    map[string]*runStat
-	booked  map[TaskID]time.Duration // when a booking was first seen
-	stayed  map[TaskID]bool          // drew to wait in this part
-	poolRun float64                  // run time of the unplaced tasks, s
+	booked  map[TaskID]bookInfo
+	lowered map[string]Res  // shares whose lowering may land late
+	stayed  map[TaskID]bool // drew to wait in this part
+	poolRun float64         // run time of the unplaced tasks, s
+
+	placeAt  time.Duration // no placing before
+	planAt   time.Duration // no task commit before
+	machAt   time.Duration // no walk over all machines before
+	viewAt   time.Duration
+	inv      []inv
+	invAt    time.Duration // < 0: none
+	invEpoch uint64
+	kinds    map[option]int64 // machines of the inventory by kind
+	mean     float64
+	meanAt   time.Duration // < 0: none
+	waitIn   map[string]int64
+	waitAt   time.Duration
+
+	ownersOf *View // that owners was made for
+	owners   map[string]string
+	bounced  map[string]bounceMark // newest report that was sent on, by machine
+	moves    map[string]move
+	tokens   float64 // changes that may be made now
+	tokenAt  time.Duration
+	wantMark map[string]MachineMark
+	markBusy bool
+	markAt   time.Duration
 
 	planMach map[string]bool // machines that the task commit in flight concerns
-	marking  map[string]bool // marks on their way
 
 	fleet fleet
 	learn learner
@@ -113,14 +136,16 @@
 func New(cfg Settings, inc string) *Core {
 	c := &Core{
 		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Node))),
-		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1,
+		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1, invAt: -1, meanAt: -1, waitAt: -1,
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
 		held: map[uint64]*heldCheckin{}, peers: map[string]*peerView{},
 		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
-		booked: map[TaskID]time.Duration{}, stayed: map[TaskID]bool{},
+		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
+	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
+	c.tokens = cfg.WriteRate
 	c.fleet.init()
 	c.learn.init(cfg.Node)
 	return c
@@ -130,6 +155,8 @@
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.out = c.out[:0:0]
+	c.tokens = min(c.cfg.WriteRate, c.tokens+(c.now-c.tokenAt).Seconds()*c.cfg.WriteRate)
+	c.tokenAt = c.now
 	switch e := ev.(type) {
 	case EvTick:
 	case EvSnapshot:
@@ -191,7 +218,9 @@
 		c.drivePlan()
 		c.driveFleet()
 		c.driveLearn()
+		c.driveHeld()
 		c.driveMachines()
+		c.driveMarks()
 	}
 }
 
@@ -316,7 +345,7 @@
 
 func (c *Core) onConfirm(e EvConfirm) {
 	c.confirming = false
-	c.confirmAt = c.now + tuning.ConfirmGap
+	c.confirmAt = c.now + c.confirmGap()
 	c.stateOK = e.OK
 	if !e.OK {
 		c.confirmAt = c.now + tuning.ConfirmRetry
@@ -328,6 +357,14 @@
 	c.settleConfirms()
 }
 
+// confirmGap keeps what readers can cause to a part of this node's requests.
+func (c *Core) confirmGap() time.Duration {
+	if c.cfg.ReadRate <= 0 {
+		return tuning.ConfirmGap
+	}
+	return max(tuning.ConfirmGap, time.Duration(float64(time.Second)/(tuning.ConfirmShare*c.cfg.ReadRate)))
+}
+
 // settleConfirms counts the confirmations that the cache has caught up with.
 // Without that a node whose watch hangs would act on old cancellations.
 func (c *Core) settleConfirms() {
@@ -353,6 +390,7 @@
 
 func (c *Core) commit(lane int, t Txn, done func(CommitResult, EvCommit)) *pendingCommit {
 	c.nextID++
+	c.tokens -= float64(len(t.Apply))
 	p := &pendingCommit{id: c.nextID, t: t, done: done}
 	c.commits[p.id] = p
 	c.emit(EfCommit{ID: p.id, Lane: lane, T: t})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -90,13 +90,14 @@
 	if c.now < f.decideAt {
 		return
 	}
-	f.decideAt = c.now + tuning.FleetEvery
+	f.decideAt = c.now + max(tuning.FleetEvery, 2*c.pace())
 	c.decideReturns()
 	if f.listed {
-		c.decideMarks()
-		c.decideHolds()
-		c.decideRest()
-		c.decideRents()
+		ms, pend := c.machines(), c.pending()
+		c.decideMarks(ms, pend)
+		c.decideHolds(ms, pend)
+		c.decideRest(ms, pend)
+		c.decideRents(ms, pend)
 	}
 }
 
@@ -211,7 +212,7 @@
 	var names []string
 	for _, n := range slices.Sorted(maps.Keys(c.st.marks)) {
 		m := c.st.marks[n]
-		if m.State != MarkDrain || c.st.ledger < c.st.stamps[preMach+n] {
+		if _, gone := c.wantMark[n]; m.State != MarkDrain || gone || c.st.ledger < c.st.stamps[preMach+c.markHome(n)] {
 			continue
 		}
 		if (m.Why == WhyIdle || m.Why == WhySick) && len(c.st.byMach[n]) > 0 {
@@ -234,26 +235,15 @@
 		f.backoff = c.now + 2*time.Second
 		return
 	}
-	names := e.Names
-	for len(names) > 0 {
-		k := min(len(names), c.cfg.TxnOps)
-		t := Txn{}
-		for _, n := range names[:k] {
-			t.When = append(t.When, Cond{preMach + n, c.st.stamps[preMach+n]})
-			t.Apply = append(t.Apply, Put{Key: preMach + n, Value: enc(MachineMark{State: MarkGone, Why: c.st.marks[n].Why})})
-		}
-		c.log(1, "machines returned", "names", names[:k])
-		c.fleet.returning = true
-		c.commit(LaneTask, t, func(CommitResult, EvCommit) { c.fleet.returning = false })
-		names = names[k:]
+	for _, n := range e.Names {
+		c.mark(n, MachineMark{State: MarkGone})
 	}
+	c.log(1, "machines returned", "names", e.Names)
 }
 
 // decideMarks drains what is failed, stuck or idle for long.
-func (c *Core) decideMarks() {
+func (c *Core) decideMarks(ms []known, pend []need) {
 	f := &c.fleet
-	ms := c.machines()
-	pend := c.pending()
 	fresh, leaving := c.peersFresh(), c.leaving()
 	for _, k := range ms {
 		fl := c.flavor(k.Type)
@@ -312,8 +302,8 @@
 
 func (c *Core) pending() []need {
 	used := map[string]Res{}
-	for n, t := range c.st.teams {
-		used[n] = t.Used
+	for n := range c.cfg.Teams {
+		used[n] = c.teamUsed(n, nil)
 	}
 	claims := c.claims()
 	var l []need
@@ -344,12 +334,10 @@
 // decideHolds keeps machines for jobs that need a whole one: idle ones first;
 // if more jobs wait than are idle, those that will be empty soonest, and where
 // all that runs there has lower priority, they are emptied.
-func (c *Core) decideHolds() {
+func (c *Core) decideHolds(ms []known, pend []need) {
 	f := &c.fleet
 	old := f.hold
 	f.hold, f.evict = map[string]bool{}, map[string]bool{}
-	pend := c.pending()
-	ms := c.machines()
 	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
 		w := f.wholeSeen[class]
 		if c.now-w.at > tuning.WholeMemory {
@@ -386,7 +374,7 @@
 					break
 				}
 				x.low = x.low && sp.Prio < w.sp.Prio
-				left := c.runTime(sp) - (c.now - c.booked[id]).Seconds()
+				left := c.runTime(sp) - (c.now - c.booked[id].at).Seconds()
 				x.wait = max(x.wait, left, 3)
 			}
 			if old[k.Name] {
@@ -429,7 +417,7 @@
 // decideRest lets the dearest machines run empty while the cheaper ones have
 // room for all that runs and waits, with some headroom: draws by load alone
 // would spread tasks over all machines, and none could ever be returned.
-func (c *Core) decideRest() {
+func (c *Core) decideRest(ms []known, pend []need) {
 	f := &c.fleet
 	old := f.rest
 	f.rest = map[string]bool{}
@@ -439,26 +427,16 @@
 	}
 	var cs []cand
 	var want Res
-	for _, k := range c.machines() {
+	for _, k := range ms {
 		if !k.up || k.mark.State != "" || f.hold[k.Name] {
 			continue
 		}
 		fl := c.flavor(k.Type)
-		gang, here := false, Res{}
-		for id := range c.st.byMach[k.Name] {
-			sp := c.st.jobs[id.Job].H.Spec
-			if sp == nil {
-				continue
-			}
-			if whole(sp) {
-				gang = true
-				break
-			}
-			here = here.Plus(sp.Need, 1)
-		}
-		if gang {
+		o := c.st.occ[k.Name]
+		if o.whole > 0 {
 			continue
 		}
+		here := o.used
 		want = want.Plus(here, 1)
 		p := fl.Price
 		if k.Spot {
@@ -476,7 +454,7 @@
 		p *= 1.1 - 0.1*min(float64(k.busy), 10)/10
 		cs = append(cs, cand{k, p})
 	}
-	for _, p := range c.pending() {
+	for _, p := range pend {
 		if !whole(p.sp) {
 			want = want.Plus(p.sp.Need, int64(p.n))
 		}
@@ -487,7 +465,7 @@
 	if c.now >= f.tellAt {
 		f.tellAt = c.now + tuning.FleetTell
 		busy := ""
-		for _, k := range c.machines() {
+		for _, k := range ms {
 			tag := ""
 			if f.hold[k.Name] {
 				tag = "h"
@@ -535,7 +513,7 @@
 
 // decideRents packs what is pending on what is there or boots, and rents for
 // the rest the kind with the least price per task that fits.
-func (c *Core) decideRents() {
+func (c *Core) decideRents(ms []known, pend []need) {
 	f := &c.fleet
 	for _, h := range slices.Sorted(maps.Keys(f.renting)) {
 		r := f.renting[h]
@@ -554,7 +532,7 @@
 	}
 	var slots []slot
 	leaving := c.leaving()
-	for _, k := range c.machines() {
+	for _, k := range ms {
 		if k.mark.State != "" || leaving[k.Name] || k.Status == "failed" || !k.up && k.Status == "running" && k.busy > 0 {
 			continue
 		}
@@ -565,7 +543,7 @@
 		free Res
 	}
 	var plans []plan
-	pend := c.pending()
+	pend = slices.Clone(pend)
 	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
 		if n := c.spare(f.wholeSeen[class].sp); n > 0 {
 			pend = append(pend, need{f.wholeSeen[class].sp, n})
@@ -583,33 +561,41 @@
 	}
 	credit := int(float64(busy) * tuning.TurnoverCredit)
 	for _, p := range pend {
-	tasks:
-		for i := 0; i < p.n; i++ {
-			for s := range slots {
-				if slots[s].free.Holds(p.sp.Need) && c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) &&
-					(whole(p.sp) || !f.hold[slots[s].k.Name]) {
-					slots[s].free = slots[s].free.Plus(p.sp.Need, -1)
-					continue tasks
-				}
-			}
-			for s := range plans {
-				if plans[s].free.Holds(p.sp.Need) && c.fits(p.sp, plans[s].o.typ, plans[s].o.zone, plans[s].o.spot) {
-					plans[s].free = plans[s].free.Plus(p.sp.Need, -1)
-					continue tasks
-				}
+		left := int64(p.n)
+		for s := range slots {
+			if left == 0 {
+				break
 			}
-			if !whole(p.sp) && credit > 0 {
-				credit--
-				continue
+			if c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) && (whole(p.sp) || !f.hold[slots[s].k.Name]) {
+				n := slots[s].free.Times(p.sp.Need, left)
+				slots[s].free = slots[s].free.Plus(p.sp.Need, -n)
+				left -= n
 			}
-			o, ok := c.cheapest(p.sp, p.n-i)
-			if !ok {
+		}
+		for s := range plans {
+			if left == 0 {
 				break
 			}
-			plans = append(plans, plan{o, c.flavor(o.typ).Size.Plus(p.sp.Need, -1)})
-			if len(plans) >= 200 {
+			if c.fits(p.sp, plans[s].o.typ, plans[s].o.zone, plans[s].o.spot) {
+				n := plans[s].free.Times(p.sp.Need, left)
+				plans[s].free = plans[s].free.Plus(p.sp.Need, -n)
+				left -= n
+			}
+		}
+		if !whole(p.sp) {
+			n := min(left, int64(credit))
+			credit -= int(n)
+			left -= n
+		}
+		for left > 0 && len(plans) < tuning.RentPlans {
+			o, ok := c.cheapest(p.sp, int(left))
+			if !ok {
 				break
 			}
+			size := c.flavor(o.typ).Size
+			n := max(size.Times(p.sp.Need, left), 1)
+			plans = append(plans, plan{o, size.Plus(p.sp.Need, -n)})
+			left -= n
 		}
 	}
 	count := map[option]int{}
@@ -620,13 +606,17 @@
 		}
 		count[p.o]++
 	}
+	hires := 0
 	for _, o := range order {
-		f.hireN++
-		e := EfRent{Hire: fmt.Sprintf("%s-%s-%d", c.cfg.Node, c.inc, f.hireN), Type: o.typ, Zone: o.zone, Spot: o.spot,
-			Count: min(count[o], tuning.RentMost)}
-		f.renting[e.Hire] = rent{e, c.now}
-		c.log(1, "renting", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", e.Count)
-		c.emit(e)
+		for n := count[o]; n > 0 && hires < tuning.RentsAtOnce; n -= tuning.RentMost {
+			hires++
+			f.hireN++
+			e := EfRent{Hire: fmt.Sprintf("%s-%s-%d", c.cfg.Node, c.inc, f.hireN), Type: o.typ, Zone: o.zone, Spot: o.spot,
+				Count: min(n, tuning.RentMost)}
+			f.renting[e.Hire] = rent{e, c.now}
+			c.log(1, "renting", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", e.Count)
+			c.emit(e)
+		}
 	}
 }
 
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"slices"
 	"sort"
+	"strings"
 
 	"brassglade/internal/tuning"
 )
@@ -28,24 +30,64 @@
 		}
 		return x.Prio > y.Prio
 	})
-	ms := c.inventory()
+	ms := c.wholeRoom(js, d)
 	// First those whose image is on a machine with room: a fetch takes a good
-	// part of a run, and holds the team's limit as long.
+	// part of a run, and holds the team's limit as long. Of jobs alike, none is
+	// tried once one found no place: at size most of those waiting are alike.
+	type kind struct {
+		team, zone, types string
+		need              Res
+		n                 int
+		spot, one, spread bool
+	}
 	for _, cached := range [2]bool{true, false} {
+		failed := map[kind]bool{}
 		for _, j := range js {
-			if cached && !c.cachedSomewhere(d, j.H.Spec, ms) {
+			sp := j.H.Spec
+			k := kind{sp.Team, sp.Zone, strings.Join(sp.Types, ","), sp.Need, sp.N, sp.Spot, sp.OneZone, sp.Spread}
+			if failed[k] || cached && !c.cachedSomewhere(d, sp, ms) {
 				continue
 			}
+			before := len(d.changed)
 			if !c.bookWhole(d, j, ms) {
 				return
 			}
+			if len(d.changed) == before && sp.Shape == Gang && j.nQ == sp.N {
+				failed[k] = true
+			}
 		}
 	}
 }
 
+// wholeRoom is the part of the inventory that has room for a task of any of
+// the jobs.
+func (c *Core) wholeRoom(js []*Job, d *draft) []inv {
+	var needs []Res
+	for _, j := range js {
+		if !slices.Contains(needs, j.H.Spec.Need) {
+			needs = append(needs, j.H.Spec.Need)
+		}
+	}
+	var l []inv
+	for _, m := range c.inventory() {
+		f := c.flavor(m.typ)
+		if f == nil || c.st.marks[m.name].State != "" {
+			continue
+		}
+		free := c.free(m.name, f.Size, d)
+		for _, n := range needs {
+			if free.Holds(n) {
+				l = append(l, m)
+				break
+			}
+		}
+	}
+	return l
+}
+
 func (c *Core) cachedSomewhere(d *draft, sp *Spec, ms []inv) bool {
 	for _, m := range ms {
-		if f := c.flavor(m.typ); f != nil && m.images[sp.Image] && c.fits(sp, m.typ, m.zone, m.spot) &&
+		if f := c.flavor(m.typ); f != nil && m.has(sp.Image) && c.fits(sp, m.typ, m.zone, m.spot) &&
 			c.free(m.name, f.Size, d).Holds(sp.Need) {
 			return true
 		}
@@ -89,10 +131,15 @@
 			return f != nil && c.fits(sp, m.typ, m.zone, m.spot) &&
 				c.free(m.name, f.Size, d).Plus(use[m.name], -1).Holds(sp.Need)
 		}
-		cand := append([]inv(nil), ms...)
+		var cand []inv
+		for _, m := range ms {
+			if ok(m) {
+				cand = append(cand, m)
+			}
+		}
 		sort.SliceStable(cand, func(a, b int) bool {
 			x, y := cand[a], cand[b]
-			if i, k := x.images[sp.Image], y.images[sp.Image]; i != k {
+			if i, k := x.has(sp.Image), y.has(sp.Image); i != k {
 				return i
 			}
 			if h, k := c.fleet.hold[x.name], c.fleet.hold[y.name]; h != k {
@@ -154,13 +201,14 @@
 		}
 		// All of a gang goes in one commit, or it waits for an emptier one.
 		chunks := (sp.N + j.H.Chunk - 1) / j.H.Chunk
-		if d.ops()+chunks+1 > c.cfg.TxnOps || d.bytes+sp.N*tuning.TaskBytes > tuning.TxnBytes {
+		if d.ops()+chunks+1 > c.cfg.TxnOps || d.bytes+chunks*c.cfg.ValueB > tuning.TxnBytes ||
+			len(d.conds)+chunks+2+min(sp.N, len(c.cfg.Nodes)) > 4*c.cfg.TxnOps {
 			c.dirty = true
 			return false
 		}
 	}
 	for _, p := range ps {
-		if !d.room(j, p.i, false) && sp.Shape != Gang {
+		if !d.room(j, p.i, false, true) && sp.Shape != Gang {
 			c.dirty = true
 			return false
 		}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -40,10 +41,16 @@
 	if !c.up {
 		return
 	}
-	better := false
+	// Either a peer says that the state service answers it, or no peer is heard
+	// at all: then it is this node that is cut off, since in an outage of the
+	// state service alone the peers still talk.
+	better, heard := false, false
 	for _, p := range c.peers {
-		better = better || p.usable && c.now-p.at < tuning.PeerFresh
+		fresh := c.now-p.at < tuning.PeerFresh
+		heard = heard || fresh
+		better = better || p.usable && fresh
 	}
+	better = better || !heard && len(c.cfg.Nodes) > 1
 	switch {
 	case !better:
 		c.downSince = -1
@@ -221,7 +228,10 @@
 	c.subs[e.ID] = true
 	h := &Header{
 		State: JobOpen, Spec: e.Spec, N: e.Spec.N, Part: c.roomiest(e.Spec),
-		Order: c.st.ledger + 1, Chunk: max(1, (c.cfg.ValueB-64)/tuning.TaskBytes),
+		Order: c.st.ledger + 1, Chunk: max(1, (c.cfg.ValueB-tuning.PackSlack)/(2*tuning.TaskBytes)),
+	}
+	if pack, ok := c.packFor(e.Spec, h.Part); ok {
+		h.Pack, h.Chunk = pack, h.N
 	}
 	t := Txn{When: []Cond{{keyJob(e.ID), 0}}, Apply: []Put{{Key: keyJob(e.ID), Value: enc(h)}}}
 	c.commit(LaneUser, t, func(r CommitResult, _ EvCommit) {
@@ -281,3 +291,24 @@
 		}
 	})
 }
+
+// packFor is the pack of a part that a new job's tasks go to: the first with
+// room for all of them booked. Two nodes may fill one at the same time; then
+// some bookings wait until others end (draft.room).
+func (c *Core) packFor(sp *Spec, part string) (string, bool) {
+	cost := func(n int) int { return tuning.TaskBytes + n*tuning.BookedBytes }
+	most := c.cfg.ValueB * tuning.PackPercent / 100
+	if whole(sp) || cost(sp.N) > most {
+		return "", false
+	}
+	for k := 0; ; k++ {
+		name := part + "/" + strconv.Itoa(k)
+		sum := cost(sp.N)
+		for _, j := range c.st.packs[name] {
+			sum += cost(j.nQ + j.nB)
+		}
+		if sum <= most {
+			return name, true
+		}
+	}
+}
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -12,10 +12,10 @@
 // WindowRec is the value of window/NODE: what one node tells all at the end of
 // each window.
 type WindowRec struct {
-	Seq    uint64             `json:"q"`
-	Loads  map[string]float64 `json:"x"`
-	Passes int                `json:"p"`
-	Theta  []float64          `json:"t"`
+	Seq    uint64    `json:"q"`
+	Loads  []float64 `json:"x"`
+	Passes int       `json:"p"`
+	Theta  []float64 `json:"t"`
 }
 
 // policy is a linear softmax policy over targets that come and go: a weight
@@ -181,13 +181,13 @@
 	if len(x) < 2 {
 		return 0
 	}
+	// In order, the i-th is larger than i others and smaller than the rest.
+	y := slices.Sorted(slices.Values(x))
 	s := 0.0
-	for _, a := range x {
-		for _, b := range x {
-			s += math.Abs(a - b)
-		}
+	for i, v := range y {
+		s += v * float64(2*i-len(y)+1)
 	}
-	return s / float64(len(x)-1)
+	return 2 * s / float64(len(x)-1)
 }
 
 func dot(a, b []float64) float64 {
@@ -207,13 +207,18 @@
 	}
 	l.at = c.now
 	l.seq++
-	loads := map[string]float64{}
-	for name, m := range c.mach {
-		if c.owns(name) && c.bookable(m) && !c.kept(name) {
-			loads[name] = math.Round(c.load(m)*10) / 10
+	// Loads go without names: the critic's features need none, and with them
+	// the record of a few hundred machines would not fit its value.
+	loads := []float64{}
+	alive := map[string]bool{}
+	for _, name := range c.machNames() {
+		if m := c.mach[name]; c.owns(name) {
+			alive[name] = true
+			if c.bookable(m) && !c.kept(name) {
+				loads = append(loads, math.Round(c.load(m)*10)/10)
+			}
 		}
 	}
-	alive := map[string]bool{}
 	var x []float64
 	passes := l.passes
 	for _, n := range c.st.view.Serving {
@@ -227,10 +232,7 @@
 			ls = w.Loads
 			passes += w.Passes
 		}
-		for _, k := range slices.Sorted(maps.Keys(ls)) {
-			x = append(x, ls[k])
-			alive[k] = true
-		}
+		x = append(x, ls...)
 	}
 	f, imb := features(x)
 	if l.last != nil && c.cfg.Learn {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -32,6 +32,9 @@
 	// sent: check-in whose answer last carried the run of a booking
 	sent map[doom]uint64
 
+	unheeded  int    // reports in a row that show that an answer had no effect
+	sentBaton uint64 // of the last answer
+
 	queue    []TaskID
 	errs     int
 	errJobs  map[string]bool
@@ -78,9 +81,11 @@
 		c.emit(EfCheckin{Req: e.Req, Status: 503})
 		return
 	}
-	owner := c.st.view.owner(r.Machine)
+	owner := c.ownerOf(r.Machine)
 	if owner != c.cfg.Node {
-		c.noteBounce(r.Machine, owner, r.Baton)
+		if c.st.marks[r.Machine].State != MarkGone {
+			c.noteBounce(r.Machine, owner, r.Shift, r.Tally, r.Baton)
+		}
 		c.emit(EfCheckin{Req: e.Req, Status: 421, Owner: owner})
 		return
 	}
@@ -101,6 +106,7 @@
 		c.emit(EfCheckin{Req: e.Req, Status: 503})
 		return
 	}
+	c.heed(m, &r)
 	c.takeReport(m, &r, true)
 	for id, h := range c.held {
 		if h.machine == m.Name { // given up by the worker
@@ -112,17 +118,55 @@
 	c.drivePlace()
 	c.drivePlan()
 	h := &heldCheckin{m.Name, e.Req, r.Tally, r.Shift, c.now + tuning.CheckinHold}
-	if c.task != nil && c.touches(m) {
+	if c.worthHolding(m) {
 		c.held[e.Req] = h
 		return
 	}
 	c.answer(h)
 }
 
-// touches tells whether the task commit in flight concerns m, so that its end
-// would change the orders.
-func (c *Core) touches(m *Machine) bool {
-	return c.planMach[m.Name] || len(m.queue) > 0 || c.unsettled(m)
+// heed notices a machine whose reports arrive while answers don't reach it: a
+// report newer than an answer must show the answer's token and tasks.
+func (c *Core) heed(m *Machine, r *Report) {
+	if !m.heardOnce || r.Shift != m.shift || m.last200 < 0 {
+		return
+	}
+	missed := r.Baton < m.sentBaton
+	there := map[TaskID]bool{}
+	for _, s := range r.Tasks {
+		there[s.Task] = true
+	}
+	for k, tally := range m.sent {
+		if !c.st.byMach[m.Name][k.T] {
+			delete(m.sent, k)
+			continue
+		}
+		if !missed && tally < r.Tally && tally > 0 && !there[k.T] && c.st.byMach[m.Name][k.T] && c.st.jobs[k.T.Job].task(k.T.I).Attempt == k.A {
+			missed = true
+		}
+	}
+	if !missed {
+		m.unheeded = 0
+		return
+	}
+	m.unheeded++
+}
+
+// worthHolding: an answer given now would soon have had orders in it. A machine
+// that has to wait for its next report starts its next task seconds later.
+func (c *Core) worthHolding(m *Machine) bool {
+	if c.task != nil && c.planMach[m.Name] {
+		return true // the commit in flight concerns it
+	}
+	for id := range c.st.byMach[m.Name] {
+		if s, ok := m.tasks[id]; !ok || s.Attempt != c.st.jobs[id.Job].task(id.I).Attempt {
+			return false // something to start
+		}
+	}
+	if len(m.queue) > 0 && c.bookable(m) || c.unsettled(m) {
+		return true
+	}
+	return len(m.tasks) == 0 && c.bookable(m)
 }
 
 // unsettled: m reports ended tasks whose outcome is not committed yet.
@@ -217,7 +261,7 @@
 		return
 	}
 	orders := c.orders(m, h.tally)
-	m.last200 = c.now
+	m.last200, m.sentBaton = c.now, c.st.view.Epoch
 	c.emit(EfCheckin{Req: h.req, Status: 200, Baton: c.st.view.Epoch, Orders: orders})
 }
 
@@ -313,8 +357,9 @@
 	return true
 }
 
-func sortedTasks[V any](m map[TaskID]V) []TaskID {
-	ids := slices.Collect(maps.Keys(m))
+func sortedTasks[V any](m map[TaskID]V) []TaskID { return inOrder(slices.Collect(maps.Keys(m))) }
+
+func inOrder(ids []TaskID) []TaskID {
 	sort.Slice(ids, func(a, b int) bool {
 		if ids[a].Job != ids[b].Job {
 			return ids[a].Job < ids[b].Job
@@ -358,18 +403,25 @@
 	return c.now > from+lease+tuning.DriftMargin
 }
 
-// driveMachines answers held check-ins, gives up dead sessions, marks silent
-// machines and sends direct halts where time matters.
-func (c *Core) driveMachines() {
+// driveHeld answers held check-ins once there is nothing more to wait for.
+func (c *Core) driveHeld() {
+	if len(c.held) == 0 {
+		return
+	}
 	for _, h := range sortedHeld(c.held) {
-		m := c.mach[h.machine]
-		if c.task == nil || c.now >= h.till || !c.touches(m) {
+		if m := c.mach[h.machine]; m == nil || c.now >= h.till || !c.worthHolding(m) {
 			c.answer(h)
 		}
 	}
-	if !c.fenceOK() {
+}
+
+// driveMachines gives up dead sessions, marks silent machines and sends direct
+// halts where time matters.
+func (c *Core) driveMachines() {
+	if !c.fenceOK() || c.now < c.machAt {
 		return
 	}
+	c.machAt = c.now + min(tuning.Tick, c.pace())
 	for _, n := range slices.Sorted(maps.Keys(c.st.byMach)) {
 		if c.mach[n] == nil && c.owns(n) {
 			m := newMachine(n)
@@ -425,8 +477,18 @@
 			c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
 		}
 	}
+	// If answers to many have no effect, it is this node that is slow or cut off.
+	deaf := 0
+	for _, m := range c.mach {
+		if m.unheeded >= tuning.UnheededMost {
+			deaf++
+		}
+	}
 	for _, n := range c.machNames() {
 		m := c.mach[n]
+		if m.unheeded >= tuning.UnheededMost && deaf <= 2+heard/10 && c.owns(n) && c.st.marks[n].State == "" {
+			c.mark(n, MachineMark{MarkDrain, WhyDeaf})
+		}
 		if c.owns(m.Name) && m.errs >= tuning.SickErrors && c.st.marks[m.Name].State == "" &&
 			(len(m.errJobs) >= 2 || m.errs >= 2*tuning.SickErrors) {
 			c.mark(m.Name, MachineMark{MarkDrain, WhySick})
@@ -472,19 +534,99 @@
 	return l
 }
 
-// mark wants a machine's mark written; one at a time per machine.
+// mark wants a machine's mark written; driveMarks does it, many at a time.
 func (c *Core) mark(name string, m MachineMark) {
-	if c.marking == nil {
-		c.marking = map[string]bool{}
-	}
-	if c.marking[name] || c.st.marks[name] == m || c.st.marks[name].State == MarkGone {
+	now := c.st.marks[name]
+	if _, ok := c.wantMark[name]; ok && m.State != MarkGone || now.State == MarkGone || now.State == m.State {
 		return
 	}
-	c.marking[name] = true
+	c.wantMark[name] = m
 	c.log(1, "machine marked", "machine", name, "mark", m.State, "why", m.Why)
-	key := preMach + name
-	c.commit(LaneTask, Txn{
-		When:  []Cond{{keyView, c.st.stamps[keyView]}, {key, c.st.stamps[key]}},
-		Apply: []Put{{Key: key, Value: enc(m)}},
-	}, func(CommitResult, EvCommit) { delete(c.marking, name) })
+}
+
+// driveMarks writes the wanted marks, page by page in one commit.
+func (c *Core) driveMarks() {
+	if c.markBusy || len(c.wantMark) == 0 || c.now < c.markAt || !c.fenceOK() || c.cfg.WriteRate > 0 && c.tokens <= 0 {
+		return
+	}
+	c.markAt = c.now + c.pace()
+	pages := map[string]MarkPage{}
+	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
+	var names []string
+	for _, n := range slices.Sorted(maps.Keys(c.wantMark)) {
+		m, now := c.wantMark[n], c.st.marks[n]
+		if now.State == MarkGone || now.State == m.State {
+			delete(c.wantMark, n)
+			continue
+		}
+		home := c.markHome(n)
+		p, ok := pages[home]
+		if !ok {
+			if len(pages) >= c.cfg.TxnOps {
+				continue
+			}
+			p = MarkPage{maps.Clone(c.st.pages[home].Drain), slices.Clone(c.st.pages[home].Gone)}
+			if p.Drain == nil {
+				p.Drain = map[string]string{}
+			}
+		}
+		if m.State == MarkGone {
+			delete(p.Drain, n)
+			p.Gone = append(p.Gone, n)
+		} else {
+			p.Drain[n] = m.Why
+		}
+		if !c.trimPage(&p) {
+			delete(p.Drain, n) // no room until others are returned
+			continue
+		}
+		pages[home] = p
+		names = append(names, n)
+	}
+	for _, home := range slices.Sorted(maps.Keys(pages)) {
+		key := preMach + home
+		t.When = append(t.When, Cond{key, c.st.stamps[key]})
+		t.Apply = append(t.Apply, Put{Key: key, Value: enc(pages[home])})
+	}
+	if len(names) == 0 {
+		return
+	}
+	c.markBusy = true
+	c.commit(LaneTask, t, func(r CommitResult, e EvCommit) {
+		c.markBusy = false
+		if r != Committed {
+			c.markAt = c.now + tuning.ConfirmRetry // and again, by then the cache knows more
+			return
+		}
+		for _, n := range names {
+			if c.st.marks[n].State == c.wantMark[n].State {
+				delete(c.wantMark, n)
+			}
+		}
+	})
+}
+
+// trimPage forgets the machines gone longest until the page fits its value;
+// false: it doesn't fit even so.
+func (c *Core) trimPage(p *MarkPage) bool {
+	size := func() int {
+		n := tuning.PackSlack
+		for name, why := range p.Drain {
+			n += len(name) + len(why) + 6
+		}
+		for _, name := range p.Gone {
+			n += len(name) + 3
+		}
+		return n
+	}
+	for i := 0; size() > c.cfg.ValueB; {
+		for i < len(p.Gone) && len(c.st.byMach[p.Gone[i]]) > 0 {
+			i++
+		}
+		if i == len(p.Gone) {
+			return false
+		}
+		p.Gone = slices.Delete(p.Gone, i, i+1)
+	}
+	return true
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -19,6 +20,7 @@
 	machines []PeerMachine
 	holds    map[string]bool
 	evict    map[string]bool
+	fit      map[fitKey]bool
 }
 
 func (c *Core) onPeer(e EvPeer) {
@@ -27,7 +29,7 @@
 		c.onSteal(e.From, m.Steal)
 		return
 	}
-	p := &peerView{at: c.now, epoch: m.Epoch, usable: m.Usable, load: m.Load, machines: m.Machines, holds: map[string]bool{}, evict: map[string]bool{}}
+	p := &peerView{fit: map[fitKey]bool{}, at: c.now, epoch: m.Epoch, usable: m.Usable, load: m.Load, machines: m.Machines, holds: map[string]bool{}, evict: map[string]bool{}}
 	for _, h := range m.Holds {
 		p.holds[h] = true
 	}
@@ -35,7 +37,6 @@
 		p.evict[h] = true
 	}
 	c.peers[e.From] = p
-	c.dirty = true
 }
 
 // whole: jobs that the leader places as one.
@@ -133,22 +134,18 @@
 	if f == nil {
 		return 0
 	}
-	l, need, run := 0, Res{}, int64(0) // whole ms: sums don't depend on order
-	add := func(id TaskID) {
+	o := c.st.occ[m.Name]
+	l, need, run := o.n, o.used, o.run // whole ms: sums don't depend on order
+	for _, id := range m.queue {
+		if c.placed[id] != m.Name {
+			continue
+		}
 		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil {
 			l++
 			need = need.Plus(j.H.Spec.Need, 1)
 			run += int64(1000 * c.runTime(j.H.Spec))
 		}
 	}
-	for id := range c.st.byMach[m.Name] {
-		add(id)
-	}
-	for _, id := range m.queue {
-		if c.placed[id] == m.Name {
-			add(id)
-		}
-	}
 	if l == 0 {
 		return 0
 	}
@@ -163,6 +160,9 @@
 }
 
 func (c *Core) meanLoad() float64 {
+	if c.meanAt >= 0 && c.now-c.meanAt < c.pace() {
+		return c.mean
+	}
 	s, n := 0.0, 0
 	for _, name := range c.machNames() {
 		m := c.mach[name]
@@ -171,10 +171,11 @@
 			n++
 		}
 	}
-	if n == 0 {
-		return 0
+	c.mean, c.meanAt = 0, c.now
+	if n > 0 {
+		c.mean = (s + c.poolRun) / float64(n)
 	}
-	return (s + c.poolRun) / float64(n)
+	return c.mean
 }
 
 // choice is a target of a draw.
@@ -183,6 +184,7 @@
 	load float64 // s
 	cost float64 // s on top: the image fetch
 	m    *Machine
+	t    *target
 }
 
 // draw picks from the masked softmax over the given choices, which are those
@@ -208,7 +210,7 @@
 	if !c.fenceOK() {
 		return
 	}
-	if c.now-c.drawAt >= tuning.DrawEvery/4 {
+	if c.now-c.drawAt >= max(tuning.DrawEvery/4, c.pace()) {
 		c.drawAt = c.now
 		c.dirty = true
 		for _, m := range c.mach {
@@ -217,6 +219,10 @@
 	} else if !c.dirty {
 		return
 	}
+	if c.now < c.placeAt {
+		return
+	}
+	c.placeAt = c.now + c.pace()
 	var mine []*Machine
 	for _, name := range c.machNames() {
 		m := c.mach[name]
@@ -226,24 +232,31 @@
 			c.unplaceMachine(name)
 		}
 	}
-	loads := map[string]float64{}
-	for _, m := range mine {
-		loads[m.Name] = c.load(m)
+	ts := make([]target, len(mine))
+	for i, m := range mine {
+		f := c.flavor(m.Type)
+		ts[i] = target{m: m, f: f, load: c.load(m), free: c.free(m.Name, f.Size, nil), queued: int64(c.queueLen(m))}
 	}
 	c.poolRun = 0
 	room := c.newTeamRoom()
 	for _, j := range c.byUrgency() {
-		if j.Tasks == nil && c.partOf(j, Task{}) != c.cfg.Node {
+		home := c.partOf(j, Task{}) == c.cfg.Node
+		if j.Tasks == nil && !home {
 			continue
 		}
 		full := false
+		var cs []choice // made for the first task of the job, kept up for the others
 		for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
 			id := TaskID{j.ID, i}
 			t := j.task(i)
-			if t.State != Queued || c.placed[id] != "" || c.giveTo[id] != "" || c.partOf(j, t) != c.cfg.Node {
+			if t.State != Queued || t.Part == "" && !home || t.Part != "" && c.partOf(j, t) != c.cfg.Node ||
+				c.placed[id] != "" || c.giveTo[id] != "" {
 				continue
 			}
-			if full || !room.fits(j.H.Spec) || !c.place(j, id, t, mine, loads) {
+			if !full && cs == nil {
+				cs = c.choices(j, ts)
+			}
+			if full || !room.fits(j.H.Spec) || !c.place(j, id, t, cs, ts) {
 				full = true
 				if f := c.anyFlavor(j.H.Spec); f != nil {
 					c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
@@ -260,15 +273,34 @@
 	}
 }
 
+// target is a machine as one round of placing sees it.
+type target struct {
+	m      *Machine
+	f      *Flavor
+	load   float64
+	free   Res
+	queued int64
+}
+
 // packCost makes draws prefer fuller and cheaper machines among those where a task starts
 // at once: it runs as fast on any of them, but a machine that stays empty can
 // be returned, and a full one fetches each image once for many.
-func (c *Core) packCost(m *Machine, f *Flavor, sp *Spec) float64 {
-	all := f.Size.Times(sp.Need, 64)
-	room := c.free(m.Name, f.Size, nil).Times(sp.Need, 64) - int64(c.queueLen(m))
+func (c *Core) packCost(t *target, sp *Spec, cheap float64) float64 {
+	all := t.f.Size.Times(sp.Need, 64)
+	room := t.free.Times(sp.Need, 64) - t.queued
 	if room <= 0 || all == 0 {
 		return 0
 	}
+	price := t.f.Price
+	if t.m.Spot {
+		price = t.f.Spot
+	}
+	dear := min(price/float64(all)/cheap, tuning.DearMost)
+	return c.runTime(sp) * (tuning.PackRuns*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
+}
+
+// leastPrice is the least price of a slot for a task of the job.
+func (c *Core) leastPrice(sp *Spec) float64 {
 	cheap := math.Inf(1)
 	for i := range c.st.flavors {
 		if fl := &c.st.flavors[i]; c.typeFits(sp, fl) {
@@ -279,12 +311,7 @@
 			}
 		}
 	}
-	price := f.Price
-	if m.Spot {
-		price = f.Spot
-	}
-	dear := min(price/float64(all)/cheap, tuning.DearMost)
-	return c.runTime(sp) * (tuning.PackRuns*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
+	return cheap
 }
 
 func (c *Core) queueLen(m *Machine) int {
@@ -419,20 +446,11 @@
 
 // slots is how many tasks like this the machines heard of can run at once.
 func (c *Core) slots(sp *Spec) float64 {
+	c.inventory()
 	n := int64(0)
-	for name, m := range c.mach {
-		if f := c.flavor(m.Type); f != nil && c.owns(name) && c.bookable(m) && !c.kept(name) && c.fits(sp, m.Type, m.Zone, m.Spot) {
-			n += f.Size.Times(sp.Need, 64)
-		}
-	}
-	for _, p := range c.peers {
-		if c.now-p.at > 4*tuning.DrawEvery {
-			continue
-		}
-		for _, m := range p.machines {
-			if f := c.flavor(m.Type); f != nil && !m.Recall && !c.kept(m.Name) && c.fits(sp, m.Type, m.Zone, m.Spot) {
-				n += f.Size.Times(sp.Need, 64)
-			}
+	for k, count := range c.kinds {
+		if f := c.flavor(k.typ); f != nil && c.fits(sp, k.typ, k.zone, k.spot) {
+			n += count * f.Size.Times(sp.Need, 64)
 		}
 	}
 	return float64(max(n, 1))
@@ -449,8 +467,8 @@
 
 func (c *Core) newTeamRoom() *teamRoom {
 	r := &teamRoom{c, c.claims(), map[string]Res{}}
-	for n, t := range c.st.teams {
-		r.used[n] = t.Used
+	for n := range c.cfg.Teams {
+		r.used[n] = c.teamUsed(n, nil)
 	}
 	for _, name := range c.machNames() {
 		for _, id := range c.mach[name].queue {
@@ -478,27 +496,44 @@
 
 func (r *teamRoom) take(sp *Spec) { r.used[sp.Team] = r.used[sp.Team].Plus(sp.Need, 1) }
 
-// place draws the target of one arrival. False: nothing can take it now.
-func (c *Core) place(j *Job, id TaskID, t Task, mine []*Machine, loads map[string]float64) bool {
+// weigh fills in what a target costs a task of the job now; false: the mask
+// takes it out.
+func (c *Core) weigh(x *choice, t *target, sp *Spec, cheap float64) bool {
+	// Queues are small: what can't start soon waits in the part's pool,
+	// where the order can still change.
+	if t.queued >= t.free.Times(sp.Need, 64)+tuning.QueueDepth {
+		return false
+	}
+	x.load, x.cost = t.load, 0
+	if _, ok := t.m.images[sp.Image]; !ok && t.f.Fetch > 0 {
+		x.cost = sp.ImageGB / t.f.Fetch
+	}
+	x.cost += c.packCost(t, sp, cheap)
+	return true
+}
+
+// choices are this part's machines that may take a task of the job.
+func (c *Core) choices(j *Job, ts []target) []choice {
 	sp := j.H.Spec
-	var cs []choice
-	for _, m := range mine {
-		f := c.flavor(m.Type)
-		if !c.fits(sp, m.Type, m.Zone, m.Spot) || !f.Size.Holds(sp.Need) {
-			continue
-		}
-		// Queues are small: what can't start soon waits in the part's pool,
-		// where the order can still change.
-		if int64(c.queueLen(m)) >= c.free(m.Name, f.Size, nil).Times(sp.Need, 64)+tuning.QueueDepth {
+	cheap := c.leastPrice(sp)
+	cs := []choice{}
+	for i := range ts {
+		t := &ts[i]
+		if !c.fits(sp, t.m.Type, t.m.Zone, t.m.Spot) || !t.f.Size.Holds(sp.Need) {
 			continue
 		}
-		x := choice{name: m.Name, load: loads[m.Name], m: m}
-		if _, ok := m.images[sp.Image]; !ok && f.Fetch > 0 {
-			x.cost = sp.ImageGB / f.Fetch
+		x := choice{name: t.m.Name, m: t.m, t: t}
+		if c.weigh(&x, t, sp, cheap) {
+			cs = append(cs, x)
 		}
-		x.cost += c.packCost(m, f, sp)
-		cs = append(cs, x)
 	}
+	return cs
+}
+
+// place draws the target of one arrival. False: nothing can take it now.
+func (c *Core) place(j *Job, id TaskID, t Task, all []choice, ts []target) bool {
+	sp := j.H.Spec
+	cs := best(all, tuning.DrawMost)
 	// A task is passed once at most, so that it can't wander.
 	if t.Part == "" && !c.stayed[id] {
 		if len(cs) == 0 {
@@ -509,13 +544,7 @@
 			if n == c.cfg.Node || p == nil || c.now-p.at > 3*tuning.DrawEvery {
 				continue
 			}
-			ok := false
-			for _, pm := range p.machines {
-				f := c.flavor(pm.Type)
-				ok = ok || f != nil && !pm.Recall && c.st.marks[pm.Name].State == "" && !c.kept(pm.Name) &&
-					f.Size.Holds(sp.Need) && c.fits(sp, pm.Type, pm.Zone, pm.Spot)
-			}
-			if ok {
+			if c.peerFits(p, sp) {
 				cs = append(cs, choice{name: n, load: p.load, cost: tuning.PassCost})
 			}
 		}
@@ -536,12 +565,76 @@
 		}
 		return true
 	}
-	m := cs[k].m
+	m, x := cs[k].m, cs[k].t
 	c.enqueue(id, m)
-	loads[m.Name] = c.load(m)
+	x.queued++
+	x.load = c.load(m)
+	cheap := c.leastPrice(sp)
+	for i := range all {
+		if all[i].m == m && !c.weigh(&all[i], x, sp, cheap) {
+			all[i].m = nil // the mask takes it out
+			all[i].load, all[i].cost = math.Inf(1), 0
+		}
+	}
 	return true
 }
 
+// peerFits: the peer has a machine that may take a task of the job. The answer
+// is kept for as long as the peer's word.
+func (c *Core) peerFits(p *peerView, sp *Spec) bool {
+	k := fitKey{sp.Need, sp.Zone, strings.Join(sp.Types, ","), sp.Spot}
+	ok, known := p.fit[k]
+	if known {
+		return ok
+	}
+	for i := range p.machines {
+		pm := &p.machines[i]
+		f := c.flavor(pm.Type)
+		if f != nil && !pm.Recall && c.st.marks[pm.Name].State == "" && f.Size.Holds(sp.Need) &&
+			c.fits(sp, pm.Type, pm.Zone, pm.Spot) && !c.kept(pm.Name) {
+			ok = true
+			break
+		}
+	}
+	p.fit[k] = ok
+	return ok
+}
+
+type fitKey struct {
+	need        Res
+	zone, types string
+	spot        bool
+}
+
+// best are the k choices of least load and cost, in their order. With hundreds
+// of machines a part the softmax gives the others nothing, and a draw's work
+// and gradient grow with the square of the targets.
+func best(all []choice, k int) []choice {
+	var cs []choice
+	for i := range all {
+		if all[i].m != nil {
+			cs = append(cs, all[i])
+		}
+	}
+	if len(cs) <= k {
+		return cs
+	}
+	score := make([]float64, len(cs))
+	for i := range cs {
+		score[i] = cs[i].load + cs[i].cost
+	}
+	sorted := slices.Clone(score)
+	slices.Sort(sorted)
+	cut := sorted[k-1]
+	var l []choice
+	for i := range cs {
+		if score[i] <= cut && len(l) < k {
+			l = append(l, cs[i])
+		}
+	}
+	return l
+}
+
 // startable: a queued task that would fit the machine right now.
 func (c *Core) startable(id TaskID, m *Machine, free Res) bool {
 	j := c.st.jobs[id.Job]
@@ -550,17 +643,30 @@
 	}
 	sp := j.H.Spec
 	return free.Holds(sp.Need) && c.fits(sp, m.Type, m.Zone, m.Spot) &&
-		within(c.st.teams[sp.Team].Used.Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max)
+		within(c.teamUsed(sp.Team, nil).Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max)
 }
 
 // stealLocal: a machine with idle room and an empty queue takes a waiting task
 // from another queue of this part.
 func (c *Core) stealLocal(mine []*Machine) {
-	waiting := false
-	for _, m := range mine {
-		waiting = waiting || len(m.queue) > 0
+	// Those that have to wait where they queue, at most a draw's worth of them.
+	var from []*Machine
+	for _, o := range mine {
+		free := c.free(o.Name, c.flavor(o.Type).Size, nil)
+		for _, id := range o.queue {
+			if c.placed[id] != o.Name {
+				continue
+			}
+			if free = free.Plus(c.st.jobs[id.Job].H.Spec.Need, -1); !(free.CPU >= 0 && free.GPU >= 0 && free.Mem >= 0) {
+				from = append(from, o)
+				break
+			}
+		}
+		if len(from) >= tuning.DrawMost {
+			break
+		}
 	}
-	if !waiting {
+	if len(from) == 0 {
 		return
 	}
 	for _, m := range mine {
@@ -568,10 +674,13 @@
 			continue
 		}
 		free := c.free(m.Name, c.flavor(m.Type).Size, nil)
+		if free.CPU == 0 {
+			continue
+		}
 		for n := 0; n < tuning.HandoverMost; n++ {
 			var cs []choice
 			var take []TaskID
-			for _, o := range mine {
+			for _, o := range from {
 				if o == m || len(o.queue) == 0 {
 					continue
 				}
@@ -604,29 +713,58 @@
 
 // stealRemote asks another part for tasks that fit a machine with idle room.
 func (c *Core) stealRemote(mine []*Machine) {
+	// Where work waits that other parts have, by kind of task.
+	type lot struct {
+		sp    *Spec
+		parts map[string]bool
+	}
+	var lots []lot
+	for _, j := range c.st.open {
+		if j.nQ == 0 || whole(j.H.Spec) || !within(c.teamUsed(j.H.Spec.Team, nil).Plus(j.H.Spec.Need, 1), c.cfg.Teams[j.H.Spec.Team].Max) {
+			continue
+		}
+		x := lot{j.H.Spec, map[string]bool{}}
+		home := c.partOf(j, Task{})
+		for i := 0; i < j.H.N && i < 256; i++ {
+			if t := j.task(i); t.State == Queued {
+				p := home
+				if t.Part != "" {
+					p = c.partOf(j, t)
+				}
+				x.parts[p] = true
+			}
+		}
+		delete(x.parts, c.cfg.Node)
+		if len(x.parts) > 0 {
+			lots = append(lots, x)
+		}
+		if len(lots) >= tuning.StealLots {
+			break
+		}
+	}
+	if len(lots) == 0 {
+		return
+	}
+	sent := 0
 	for _, m := range mine {
-		if len(m.queue) > 0 {
+		if len(m.queue) > 0 || sent >= tuning.StealMost {
 			continue
 		}
 		free := c.free(m.Name, c.flavor(m.Type).Size, nil)
 		parts := map[string]bool{}
-		for _, j := range c.st.open {
-			if j.nQ == 0 || whole(j.H.Spec) || !free.Holds(j.H.Spec.Need) || !c.fits(j.H.Spec, m.Type, m.Zone, m.Spot) {
-				continue
-			}
-			for i := 0; i < j.H.N && i < 256; i++ {
-				if t := j.task(i); t.State == Queued {
-					parts[c.partOf(j, t)] = true
-				}
+		for _, x := range lots {
+			if free.Holds(x.sp.Need) && c.fits(x.sp, m.Type, m.Zone, m.Spot) {
+				maps.Copy(parts, x.parts)
 			}
 		}
 		var cs []choice
 		for _, n := range slices.Sorted(maps.Keys(parts)) {
-			if p := c.peers[n]; p != nil && n != c.cfg.Node {
+			if p := c.peers[n]; p != nil {
 				cs = append(cs, choice{name: n, load: p.load})
 			}
 		}
 		if k := c.draw(&c.learn.steal, cs); k >= 0 {
+			sent++
 			c.emit(EfPeer{To: cs[k].name, Msg: PeerMsg{Epoch: c.st.view.Epoch, Steal: &Steal{
 				Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free, Most: tuning.HandoverMost}}})
 		}
@@ -647,7 +785,7 @@
 		}
 		sp := j.H.Spec
 		if !room.Holds(sp.Need) || !c.fits(sp, s.Type, s.Zone, s.Spot) ||
-			!within(c.st.teams[sp.Team].Used.Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max) {
+			!within(c.teamUsed(sp.Team, nil).Plus(sp.Need, 1), c.cfg.Teams[sp.Team].Max) {
 			return
 		}
 		room = room.Plus(sp.Need, -1)
@@ -690,21 +828,22 @@
 // roomiest is the part with the most room for a job: slots free, else the
 // least load.
 func (c *Core) roomiest(sp *Spec) string {
+	room := map[string]int64{}
+	for _, m := range c.inventory() {
+		if f := c.flavor(m.typ); f != nil && c.fits(sp, m.typ, m.zone, m.spot) && !c.kept(m.name) {
+			room[m.owner] += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
+		}
+	}
 	best, bestV := c.cfg.Node, math.Inf(-1)
 	for _, n := range c.st.view.Serving {
-		room, load := int64(0), 0.0
-		for _, m := range c.inventory() {
-			f := c.flavor(m.typ)
-			if m.owner == n && f != nil && !c.kept(m.name) && c.fits(sp, m.typ, m.zone, m.spot) {
-				room += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
-			}
-		}
+		load := 0.0
 		if n == c.cfg.Node {
 			load = c.meanLoad()
 		} else if p := c.peers[n]; p != nil {
 			load = p.load
 		}
-		v := float64(min(room, int64(sp.N)))*1000 - load
+		// What was sent there lately is not in the bookings yet.
+		v := float64(min(room[n]-c.sentTo(n), int64(sp.N)))*1000 - load
 		if v > bestV {
 			best, bestV = n, v
 		}
@@ -712,53 +851,93 @@
 	return best
 }
 
+// sentTo counts the tasks of open jobs that wait in a part.
+func (c *Core) sentTo(part string) int64 {
+	if c.waitAt != c.now {
+		c.waitAt = c.now
+		c.waitIn = map[string]int64{}
+		for _, j := range c.st.open {
+			if j.nQ > 0 && !whole(j.H.Spec) {
+				c.waitIn[c.partOf(j, Task{})] += int64(j.nQ)
+			}
+		}
+	}
+	return c.waitIn[part]
+}
+
 // inv is a machine that some node hears.
 type inv struct {
 	name, addr, typ, zone, owner string
 	spot                         bool
 	shift                        uint64
-	images                       map[string]bool
+	own                          map[string]time.Duration // images, of own machines
+	told                         []string                 // images, of others'
+}
+
+func (m *inv) has(image string) bool {
+	if m.own != nil {
+		_, ok := m.own[image]
+		return ok
+	}
+	return slices.Contains(m.told, image)
 }
 
 // inventory lists the machines that take bookings, own ones and those that
-// peers told of lately; sorted by name.
+// peers told of lately; sorted by name. It is kept for as long as the pace of
+// planning: what it says of others is older anyway, and a booking for a session
+// or a mark that changed meanwhile is never carried out.
 func (c *Core) inventory() []inv {
-	var l []inv
+	if c.invAt >= 0 && c.now-c.invAt < c.pace() && c.invEpoch == c.st.view.Epoch {
+		return c.inv
+	}
+	l := make([]inv, 0, len(c.inv)+16)
 	for name, m := range c.mach {
-		if c.owns(name) && c.bookable(m) {
-			im := map[string]bool{}
-			for k := range m.images {
-				im[k] = true
-			}
-			l = append(l, inv{name, m.Addr, m.Type, m.Zone, c.cfg.Node, m.Spot, m.shift, im})
+		if c.bookable(m) && c.owns(name) {
+			l = append(l, inv{name, m.Addr, m.Type, m.Zone, c.cfg.Node, m.Spot, m.shift, m.images, nil})
 		}
 	}
 	for n, p := range c.peers {
 		if c.now-p.at > 4*tuning.DrawEvery || n == c.cfg.Node {
 			continue
 		}
-		for _, m := range p.machines {
-			if m.Recall || c.st.marks[m.Name].State != "" || c.st.view.owner(m.Name) != n {
+		for i := range p.machines {
+			m := &p.machines[i]
+			if m.Recall || c.st.marks[m.Name].State != "" || c.ownerOf(m.Name) != n {
 				continue
 			}
-			im := map[string]bool{}
-			for _, k := range m.Images {
-				im[k] = true
-			}
-			l = append(l, inv{m.Name, m.Addr, m.Type, m.Zone, n, m.Spot, m.Shift, im})
+			l = append(l, inv{m.Name, m.Addr, m.Type, m.Zone, n, m.Spot, m.Shift, nil, m.Images})
 		}
 	}
 	sort.Slice(l, func(a, b int) bool { return l[a].name < l[b].name })
+	c.inv, c.invAt, c.invEpoch = l, c.now, c.st.view.Epoch
+	// Slots by kind of machine, for estimates.
+	c.kinds = map[option]int64{}
+	for i := range l {
+		if !c.kept(l[i].name) {
+			c.kinds[option{l[i].typ, l[i].zone, l[i].spot}]++
+		}
+	}
 	return l
 }
 
+// pace is the least time between two plans, and between two walks over all
+// machines: both take time in proportion to their number, and a node has a
+// small part of a processor.
+func (c *Core) pace() time.Duration {
+	n := len(c.mach)
+	for _, p := range c.peers {
+		n += len(p.machines)
+	}
+	return min(tuning.PaceMost, time.Duration(n)*tuning.PaceMachine)
+}
+
 // tellPeers sends this node's machines and loads, and whether the state service
 // answers it.
 func (c *Core) tellPeers() {
 	if c.now < c.tellAt || c.st.view == nil {
 		return
 	}
-	c.tellAt = c.now + tuning.DrawEvery/4
+	c.tellAt = c.now + max(tuning.DrawEvery/4, 2*c.pace())
 	msg := PeerMsg{Epoch: c.st.view.Epoch, Load: c.meanLoad(), Usable: c.usable()}
 	acting := c.fenceOK()
 	for _, name := range c.machNames() {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1,24 +1,34 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"brassglade/internal/tuning"
 )
 
+// ref names a chunk of a job.
+type ref struct {
+	job string
+	k   int
+}
+
 // draft gathers the changes of one task commit on copies of the records.
 type draft struct {
 	c       *Core
 	heads   map[string]*Header
-	chunks  map[string][]Task // chunk key -> copy
-	chunkOf map[string]TaskID // chunk key -> its first task
-	teams   map[string]Res
+	chunks  map[ref][]Task  // copies
+	keys    map[string]bool // that hold them
+	add     map[string]int  // bytes by which packs may grow
+	teams   map[string]Team // reservations to write
+	mine    map[string]Res  // what the draft adds to this node's bookings
 	conds   map[string]bool
-	deletes map[string]bool
+	drop    map[string]bool // jobs that are over: their tasks go
 	machs   map[string]bool
 	dooms   []doom
 	bytes   int
@@ -29,21 +39,22 @@
 
 func (c *Core) newDraft() *draft {
 	return &draft{
-		c: c, heads: map[string]*Header{}, chunks: map[string][]Task{}, chunkOf: map[string]TaskID{},
-		teams: map[string]Res{}, conds: map[string]bool{}, deletes: map[string]bool{},
+		c: c, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
+		teams: map[string]Team{}, mine: map[string]Res{}, conds: map[string]bool{}, drop: map[string]bool{},
 		machs: map[string]bool{}, used: map[string]Res{}, changed: map[TaskID]bool{},
 	}
 }
 
-func (d *draft) ops() int { return len(d.heads) + len(d.chunks) + len(d.teams) + len(d.deletes) }
+func (d *draft) ops() int { return len(d.heads) + len(d.keys) + len(d.teams) }
 
 // room tells whether the change of one more task of j may still go in: one
-// chunk, one header and one team at most.
-func (d *draft) room(j *Job, i int, header bool) bool {
+// chunk, one header and one team at most. grows: the value may get longer.
+func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
-	if k := keyChunk(j.ID, i/j.H.Chunk); d.chunks[k] == nil {
+	key := keyChunk(j, i/j.H.Chunk)
+	if !d.keys[key] {
 		n++
-		b += j.H.Chunk * tuning.TaskBytes
+		b += d.c.cfg.ValueB
 	}
 	if header && d.heads[j.ID] == nil {
 		n++
@@ -52,6 +63,10 @@
 	if _, ok := d.teams[j.H.Spec.Team]; !ok {
 		n++
 	}
+	// A pack that is full takes no more bookings until others of it end.
+	if grows && j.H.Pack != "" && d.c.st.sizes[key]+d.add[key]+2*tuning.TaskBytes+len(j.ID) > d.c.cfg.ValueB-tuning.PackSlack {
+		return false
+	}
 	return n <= d.c.cfg.TxnOps && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
 }
 
@@ -60,38 +75,150 @@
 // task returns the copy of task i to change.
 func (d *draft) task(j *Job, i int) *Task {
 	k := i / j.H.Chunk
-	key := keyChunk(j.ID, k)
-	ch := d.chunks[key]
+	r := ref{j.ID, k}
+	ch := d.chunks[r]
 	if ch == nil {
 		from, to := k*j.H.Chunk, min((k+1)*j.H.Chunk, j.H.N)
 		ch = make([]Task, to-from)
 		if j.Tasks != nil {
 			copy(ch, j.Tasks[from:to])
 		}
-		d.chunks[key] = ch
-		d.chunkOf[key] = TaskID{j.ID, from}
-		d.bytes += len(ch) * tuning.TaskBytes
-		d.cond(key)
+		d.chunks[r] = ch
+		key := keyChunk(j, k)
+		if !d.keys[key] {
+			d.keys[key] = true
+			d.bytes += d.c.cfg.ValueB
+			d.cond(key)
+		}
 		d.cond(keyJob(j.ID))
+		if j.Tasks == nil {
+			d.add[key] += tuning.TaskBytes + len(j.ID)
+		}
 	}
 	d.changed[TaskID{j.ID, i}] = true
 	return &ch[i-k*j.H.Chunk]
 }
 
-func (d *draft) team(name string, need Res, k int64) {
-	u, ok := d.teams[name]
-	if !ok {
-		u = d.c.st.teams[name].Used
-		d.cond(preTeam + name)
+// teamUsed is what counts against a team's limit: what the others have set
+// aside, and this node's bookings, with those of the draft.
+func (c *Core) teamUsed(name string, d *draft) Res {
+	u := c.st.sums[name][c.cfg.Node]
+	if d != nil {
+		u = u.Plus(d.mine[name], 1)
+	}
+	for n, r := range c.st.teams[name].Res {
+		if n != c.cfg.Node {
+			u = u.Plus(r, 1)
+		}
+	}
+	return u
+}
+
+func (d *draft) teamUsed(name string) Res { return d.c.teamUsed(name, d) }
+
+// slack is how much of a team's limit a node sets aside beyond its bookings, so
+// that at size hardly any commit has to change a team's key; nothing where the
+// limit is only a few tasks, and less the less is left.
+func (c *Core) slack(name string, need Res) Res {
+	lim := c.cfg.Teams[name].Max
+	left := lim
+	for _, r := range c.st.teams[name].Res {
+		left = left.Plus(r, -1)
+	}
+	n := int64(len(c.cfg.Nodes))
+	part := func(lim, left, need int64) int64 {
+		s := max(0, min(lim/(tuning.SlackShare*n), left/(2*n)))
+		if s < tuning.SlackTasks*need {
+			return 0
+		}
+		return s
+	}
+	return Res{part(lim.CPU, left.CPU, need.CPU), part(lim.GPU, left.GPU, need.GPU), part(lim.Mem, left.Mem, need.Mem)}
+}
+
+// limited leaves out what a team's limit does not bound.
+func limited(r, lim Res) Res {
+	if lim.CPU == 0 {
+		r.CPU = 0
+	}
+	if lim.GPU == 0 {
+		r.GPU = 0
 	}
-	d.teams[name] = u.Plus(need, k)
+	if lim.Mem == 0 {
+		r.Mem = 0
+	}
+	return r
 }
 
-func (d *draft) teamUsed(name string) Res {
-	if u, ok := d.teams[name]; ok {
-		return u
+// reserved is this node's share of a team's limit, as far as it is certain: a
+// lowering whose outcome is unknown may land late.
+func (c *Core) reserved(name string) Res {
+	r := c.st.teams[name].Res[c.cfg.Node]
+	if l, ok := c.lowered[name]; ok {
+		r = Res{min(r.CPU, l.CPU), min(r.GPU, l.GPU), min(r.Mem, l.Mem)}
+	}
+	return r
+}
+
+// settleTeam writes the team's key if this node's bookings no longer fit its
+// share, or leave much of it unused.
+func (d *draft) settleTeam(name string, need Res) {
+	c := d.c
+	if _, ok := d.teams[name]; ok && need == (Res{}) {
+		return
+	}
+	use := limited(c.st.sums[name][c.cfg.Node].Plus(d.mine[name], 1), c.cfg.Teams[name].Max)
+	have := c.reserved(name)
+	slack := c.slack(name, need)
+	fits := have.Holds(use)
+	if fits && use.Plus(slack, 2).Holds(have) {
+		delete(d.teams, name)
+		return
+	}
+	want := use.Plus(slack, 1)
+	if lim := c.cfg.Teams[name].Max; !within(d.teamUsed(name).Plus(slack, 1), lim) {
+		want = use
+	}
+	t := Team{Res: maps.Clone(c.st.teams[name].Res)}
+	if t.Res == nil {
+		t.Res = map[string]Res{}
+	}
+	t.Res[c.cfg.Node] = want
+	d.teams[name] = t
+	d.cond(preTeam + name)
+}
+
+// settleTeams gives back what others' releases left unused of this node's
+// shares, and, as the leader, of those of nodes that are not members.
+func (d *draft) settleTeams() {
+	c := d.c
+	for _, name := range slices.Sorted(maps.Keys(c.st.teams)) {
+		if d.ops() >= c.cfg.TxnOps || len(d.conds)+4 > 4*c.cfg.TxnOps {
+			return
+		}
+		if _, ok := d.teams[name]; !ok {
+			d.settleTeam(name, Res{GPU: 1000})
+		}
+		if !c.isLeader() || d.ops() >= c.cfg.TxnOps {
+			continue
+		}
+		for n, r := range c.st.teams[name].Res {
+			use := limited(c.st.sums[name][n], c.cfg.Teams[name].Max)
+			if _, member := c.st.view.Members[n]; member || use == r {
+				continue
+			}
+			t, ok := d.teams[name]
+			if !ok {
+				t = Team{Res: maps.Clone(c.st.teams[name].Res)}
+				d.teams[name] = t
+				d.cond(preTeam + name)
+			}
+			t.Res[n] = use
+			if t.Res[n] == (Res{}) {
+				delete(t.Res, n)
+			}
+		}
 	}
-	return d.c.st.teams[name].Used
 }
 
 // release unbooks a task proven off its machine. The attempt is doomed: no
@@ -100,9 +227,14 @@
 	t := d.task(j, i)
 	d.dooms = append(d.dooms, doom{TaskID{j.ID, i}, t.Attempt})
 	d.machs[t.Machine] = true
-	d.team(j.H.Spec.Team, j.H.Spec.Need, -1)
+	d.used[t.Machine] = d.used[t.Machine].Plus(j.H.Spec.Need, -1) // the same commit may book there again
+	if t.Part == d.c.cfg.Node {
+		d.mine[j.H.Spec.Team] = d.mine[j.H.Spec.Team].Plus(j.H.Spec.Need, -1)
+		d.settleTeam(j.H.Spec.Team, j.H.Spec.Need)
+	}
 	t.Machine, t.Shift, t.Zone = "", 0, ""
 	t.State, t.Part = Queued, ""
+	d.add[keyChunk(j, i/j.H.Chunk)] += tuning.ReleaseBytes
 	if !done {
 		return
 	}
@@ -119,7 +251,7 @@
 
 // peek reads task i as the draft has it, without touching its chunk.
 func (d *draft) peek(j *Job, i int) Task {
-	if ch := d.chunks[keyChunk(j.ID, i/j.H.Chunk)]; ch != nil {
+	if ch := d.chunks[ref{j.ID, i / j.H.Chunk}]; ch != nil {
 		return ch[i%j.H.Chunk]
 	}
 	return j.task(i)
@@ -129,8 +261,8 @@
 // last chunk ends the job.
 func (d *draft) finish(j *Job, i int) {
 	t := d.task(j, i)
-	t.State = Done
-	for _, o := range d.chunks[keyChunk(j.ID, i/j.H.Chunk)] {
+	*t = Task{State: Done}
+	for _, o := range d.chunks[ref{j.ID, i / j.H.Chunk}] {
 		if o.State != Done {
 			return
 		}
@@ -139,11 +271,7 @@
 	h.Chunks++
 	if h.Chunks*h.Chunk >= h.N {
 		h.State, h.Spec = JobDone, nil
-		for key, first := range d.chunkOf {
-			if first.Job == j.ID && d.c.st.stamps[key] != 0 {
-				d.deletes[key] = true // the header says all there is to know
-			}
-		}
+		d.drop[j.ID] = true // the header says all there is to know
 	}
 }
 
@@ -166,9 +294,11 @@
 
 // drivePlan sends the next task commit if there is something to commit.
 func (c *Core) drivePlan() {
-	if c.task != nil || !c.dirty || !c.fenceOK() || c.now < c.blocked || c.st.ledger < c.needRead {
+	if c.task != nil || !c.dirty || !c.fenceOK() || c.now < c.blocked || c.st.ledger < c.needRead || c.now < c.planAt ||
+		c.cfg.WriteRate > 0 && c.tokens <= 0 {
 		return
 	}
+	c.planAt = c.now + c.pace()
 	c.dirty = false
 	d := c.newDraft()
 	c.planReleases(d)
@@ -176,32 +306,15 @@
 	c.planGangs(d)
 	c.planBookings(d)
 	c.planHandover(d)
+	d.settleTeams()
 	if d.ops() == 0 {
 		c.giveTo = map[TaskID]string{}
 		return
 	}
-	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
-	for _, k := range slices.Sorted(maps.Keys(d.conds)) {
-		t.When = append(t.When, Cond{k, c.st.stamps[k]})
-	}
-	// Headers first: a cache takes a chunk only below a header.
-	for _, id := range slices.Sorted(maps.Keys(d.heads)) {
-		t.Apply = append(t.Apply, Put{Key: keyJob(id), Value: enc(d.heads[id])})
-	}
-	for _, k := range slices.Sorted(maps.Keys(d.chunks)) {
-		if d.deletes[k] {
-			t.Apply = append(t.Apply, Put{Key: k})
-			continue
-		}
-		t.Apply = append(t.Apply, Put{Key: k, Value: enc(Chunk{d.chunks[k]})})
-	}
-	for _, k := range slices.Sorted(maps.Keys(d.deletes)) {
-		if d.chunks[k] == nil {
-			t.Apply = append(t.Apply, Put{Key: k})
-		}
-	}
-	for _, n := range slices.Sorted(maps.Keys(d.teams)) {
-		t.Apply = append(t.Apply, Put{Key: preTeam + n, Value: enc(Team{d.teams[n]})})
+	t := d.txn()
+	lowers := map[string]Res{}
+	for n, team := range d.teams {
+		lowers[n] = team.Res[c.cfg.Node]
 	}
 	for _, k := range d.dooms {
 		c.doomed[k] = true
@@ -221,10 +334,66 @@
 		default:
 			c.log(2, "task commit not confirmed", "result", int(r))
 			c.blocked = c.now + tuning.ConfirmRetry
+			if r == Unknown {
+				// It may land late, while this node goes on booking by its old,
+				// larger share: until the key has changed the smaller one counts.
+				for n, v := range lowers {
+					if old, ok := c.lowered[n]; ok {
+						v = Res{min(v.CPU, old.CPU), min(v.GPU, old.GPU), min(v.Mem, old.Mem)}
+					}
+					c.lowered[n] = v
+				}
+			}
 		}
 	})
 }
 
+// txn writes the draft as one transaction, conditional on all that it read.
+func (d *draft) txn() Txn {
+	c := d.c
+	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
+	for _, k := range slices.Sorted(maps.Keys(d.conds)) {
+		t.When = append(t.When, Cond{k, c.st.stamps[k]})
+	}
+	// Headers first: a cache takes a chunk only below a header.
+	for _, id := range slices.Sorted(maps.Keys(d.heads)) {
+		t.Apply = append(t.Apply, Put{Key: keyJob(id), Value: enc(d.heads[id])})
+	}
+	vals := map[string]*chunkValue{}
+	for key := range d.keys {
+		vals[key] = &chunkValue{J: map[string]string{}}
+		if !strings.HasPrefix(key, prePack) {
+			continue
+		}
+		jobs := c.st.packs[key[len(prePack):]]
+		for _, id := range slices.Sorted(maps.Keys(jobs)) {
+			if j := jobs[id]; j.Tasks != nil && !d.drop[id] && d.chunks[ref{id, 0}] == nil {
+				vals[key].put(id, j.Tasks)
+			}
+		}
+	}
+	refs := slices.SortedFunc(maps.Keys(d.chunks), func(a, b ref) int {
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.k, b.k))
+	})
+	for _, r := range refs {
+		if !d.drop[r.job] {
+			vals[keyChunk(c.st.jobs[r.job], r.k)].put(r.job, d.chunks[r])
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.keys)) {
+		switch {
+		case len(vals[key].J) > 0 || strings.HasPrefix(key, prePack):
+			t.Apply = append(t.Apply, Put{Key: key, Value: enc(vals[key])})
+		case c.st.stamps[key] != 0:
+			t.Apply = append(t.Apply, Put{Key: key})
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(d.teams)) {
+		t.Apply = append(t.Apply, Put{Key: preTeam + n, Value: enc(d.teams[n])})
+	}
+	return t
+}
+
 // planReleases commits outcomes and releases of this node's machines.
 func (c *Core) planReleases(d *draft) {
 	for _, name := range slices.Sorted(maps.Keys(c.st.byMach)) {
@@ -236,15 +405,15 @@
 			continue
 		}
 		mark := c.st.marks[name]
-		for _, id := range sortedTasks(c.st.byMach[name]) {
-			j := c.st.jobs[id.Job]
-			if j.H.Spec == nil {
-				continue
+		var off []TaskID
+		for id := range c.st.byMach[name] {
+			if j := c.st.jobs[id.Job]; j.H.Spec != nil && c.offProof(m, id, j.task(id.I)) {
+				off = append(off, id)
 			}
+		}
+		for _, id := range inOrder(off) {
+			j := c.st.jobs[id.Job]
 			t := j.task(id.I)
-			if !c.offProof(m, id, t) {
-				continue
-			}
 			s, there := m.tasks[id]
 			there = there && s.Attempt == t.Attempt && m.shift == t.Shift
 			done := there && s.State == SeenEnded && s.Cause == CauseDone || gangDone(j)
@@ -255,7 +424,7 @@
 				!(c.evicted(name) && !whole(j.H.Spec)) && (j.H.Halt == 0 || j.H.Halt < t.Attempt) {
 				continue
 			}
-			if !d.room(j, id.I, done) {
+			if !d.room(j, id.I, done, false) {
 				c.dirty = true
 				return
 			}
@@ -276,16 +445,19 @@
 			continue
 		}
 		touched := false
-		for k := range d.chunkOf {
-			touched = touched || d.chunkOf[k].Job == id
+		for r := range d.chunks {
+			touched = touched || r.job == id
 		}
-		if touched || d.ops()+1 > c.cfg.TxnOps {
+		chunks := (j.H.N + j.H.Chunk - 1) / j.H.Chunk
+		if touched || d.ops()+1+min(chunks, c.cfg.TxnOps/2) > c.cfg.TxnOps || len(d.conds)+8 > 4*c.cfg.TxnOps {
 			continue
 		}
 		h := d.head(j)
-		for k := 0; k*h.Chunk < h.N && d.ops() < c.cfg.TxnOps; k++ {
-			if key := keyChunk(id, k); c.st.stamps[key] != 0 {
-				d.deletes[key] = true
+		d.drop[id] = true
+		for k := 0; k < chunks && d.ops() < c.cfg.TxnOps; k++ {
+			if key := keyChunk(j, k); c.st.stamps[key] != 0 && !d.keys[key] && j.Tasks != nil {
+				d.keys[key] = true
+				d.bytes += c.cfg.ValueB
 				d.cond(key)
 			}
 		}
@@ -299,13 +471,16 @@
 func (c *Core) planHalts(d *draft) {
 	for _, name := range slices.Sorted(maps.Keys(c.st.byMach)) {
 		m := c.mach[name]
-		if m == nil || !c.owns(name) {
+		if m == nil {
 			continue
 		}
 		mark := c.st.marks[name]
 		if m.recallAt < 0 && !(mark.State == MarkDrain && mark.Why == WhySick) {
 			continue
 		}
+		if !c.owns(name) {
+			continue
+		}
 		for _, id := range sortedTasks(c.st.byMach[name]) {
 			j := c.st.jobs[id.Job]
 			sp := j.H.Spec
@@ -352,12 +527,7 @@
 
 // free is the room on a machine as committed, less what the draft books.
 func (c *Core) free(name string, size Res, d *draft) Res {
-	r := size
-	for id := range c.st.byMach[name] {
-		if sp := c.st.jobs[id.Job].H.Spec; sp != nil {
-			r = r.Plus(sp.Need, -1)
-		}
-	}
+	r := size.Plus(c.st.occ[name].used, -1)
 	if d != nil {
 		r = r.Plus(d.used[name], -1)
 	}
@@ -387,10 +557,12 @@
 // book puts task i of j on a machine within the draft.
 func (d *draft) book(j *Job, i int, m, zone string, shift, attempt uint64) {
 	t := d.task(j, i)
-	*t = Task{State: Booked, Attempt: attempt, Machine: m, Shift: shift, Zone: zone}
-	d.cond(preMach + m)
+	*t = Task{State: Booked, Attempt: attempt, Machine: m, Shift: shift, Zone: zone, Part: d.c.cfg.Node}
+	d.cond(preMach + d.c.markHome(m))
 	d.machs[m] = true
-	d.team(j.H.Spec.Team, j.H.Spec.Need, 1)
+	d.add[keyChunk(j, i/j.H.Chunk)] += tuning.TaskBytes
+	d.mine[j.H.Spec.Team] = d.mine[j.H.Spec.Team].Plus(j.H.Spec.Need, 1)
+	d.settleTeam(j.H.Spec.Team, j.H.Spec.Need)
 	d.used[m] = d.used[m].Plus(j.H.Spec.Need, 1)
 }
 
@@ -413,13 +585,16 @@
 		o  bool
 	}
 	claims := c.claims()
+	var ms []*Machine
+	for _, name := range c.machNames() {
+		if m := c.mach[name]; len(m.queue) > 0 && c.owns(name) && c.bookable(m) && !c.kept(name) {
+			ms = append(ms, m)
+		}
+	}
 	for round := 0; round < 64; round++ {
 		var cs []cand
-		for _, name := range c.machNames() {
-			m := c.mach[name]
-			if len(m.queue) == 0 || !c.owns(name) || !c.bookable(m) || c.kept(name) {
-				continue
-			}
+		for _, m := range ms {
+			name := m.Name
 			free := c.free(name, c.flavor(m.Type).Size, d)
 			for _, id := range m.queue {
 				j := c.st.jobs[id.Job]
@@ -460,9 +635,12 @@
 			if !c.teamAllows(sp, d, claims) {
 				continue
 			}
-			if !d.room(x.j, x.id.I, false) {
+			if !d.room(x.j, x.id.I, false, true) {
 				c.dirty = true
-				return
+				if d.ops() >= c.cfg.TxnOps-2 || len(d.conds)+6 > 4*c.cfg.TxnOps {
+					return
+				}
+				continue // its pack is full; others may still go in
 			}
 			at := x.j.task(x.id.I).Attempt + 1
 			d.book(x.j, x.id.I, x.m.Name, x.m.Zone, x.m.shift, at)
@@ -550,11 +728,12 @@
 			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 			continue
 		}
-		if !d.room(j, id.I, false) {
+		if !d.room(j, id.I, false, true) {
 			c.dirty = true
 			return
 		}
 		t := d.task(j, id.I)
+		d.add[keyChunk(j, id.I/j.H.Chunk)] += tuning.ReleaseBytes
 		t.Part = to
 		c.unplace(id)
 		d.notes = append(d.notes, func() {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -4,6 +4,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	json "github.com/goccy/go-json"
 )
@@ -15,14 +16,23 @@
 	keyFlavors = "b/flavors"
 	preMember  = "b/member/"
 	preJob     = "b/job/"
+	prePack    = "b/pack/"
 	preTask    = "b/task/"
 	preTeam    = "b/team/"
 	preMach    = "b/mach/"
 	preWindow  = "b/window/"
 )
 
-func keyJob(id string) string          { return preJob + id }
-func keyChunk(id string, k int) string { return preTask + id + "/" + strconv.Itoa(k) }
+func keyJob(id string) string { return preJob + id }
+
+// keyChunk is where chunk k of a job is kept: in a value of its own, or in the
+// pack that it shares with other jobs of its part.
+func keyChunk(j *Job, k int) string {
+	if j.H.Pack != "" {
+		return prePack + j.H.Pack
+	}
+	return preTask + j.ID + "/" + strconv.Itoa(k)
+}
 
 // Job is a job in the cache.
 type Job struct {
@@ -49,17 +59,38 @@
 	open     []*Job // not final, by order
 	cleaning map[string]*Job
 	teams    map[string]Team
-	sums     map[string]Res // used, recomputed from the bookings
+	sums     map[string]map[string]Res // team -> node that booked -> in use
 	marks    map[string]MachineMark
+	pages    map[string]MarkPage        // home -> its page of marks
+	packs    map[string]map[string]*Job // pack -> jobs whose tasks it holds
+	sizes    map[string]int             // bytes of packs
+	occ      map[string]occ
 	flavors  []Flavor
 	windows  map[string]*WindowRec
 	byMach   map[string]map[TaskID]bool
 }
 
+// occ sums up what is booked on a machine, so that nothing has to walk tasks
+// to know a machine's room or load.
+type occ struct {
+	used  Res
+	n     int
+	run   int64 // expected run times, ms
+	whole int   // tasks of jobs placed whole
+	zone  string
+}
+
+// booking is what this node remembers of a booking.
+type bookInfo struct {
+	at  time.Duration // first seen
+	run int64         // expected run time then, ms
+}
+
 func newStore() store {
 	return store{
 		stamps: map[string]uint64{}, members: map[string]string{}, jobs: map[string]*Job{},
-		cleaning: map[string]*Job{}, teams: map[string]Team{}, sums: map[string]Res{},
+		cleaning: map[string]*Job{}, teams: map[string]Team{}, sums: map[string]map[string]Res{},
+		pages: map[string]MarkPage{}, packs: map[string]map[string]*Job{}, sizes: map[string]int{}, occ: map[string]occ{},
 		marks: map[string]MachineMark{}, windows: map[string]*WindowRec{},
 		byMach: map[string]map[TaskID]bool{},
 	}
@@ -100,12 +131,13 @@
 	count(old.State, -1)
 	count(t.State, 1)
 	if old.State == Booked {
+		c.occupy(j, id, old, -1)
 		delete(c.st.byMach[old.Machine], id)
 		delete(c.booked, id)
 		if len(c.st.byMach[old.Machine]) == 0 {
 			delete(c.st.byMach, old.Machine)
+			delete(c.st.occ, old.Machine)
 		}
-		c.addSum(j, -1)
 	}
 	if t.State == Booked {
 		m := c.st.byMach[t.Machine]
@@ -114,9 +146,13 @@
 			c.st.byMach[t.Machine] = m
 		}
 		m[id] = true
-		c.booked[id] = c.now
+		run := int64(0)
+		if j.H.Spec != nil {
+			run = int64(1000 * c.runTime(j.H.Spec))
+		}
+		c.booked[id] = bookInfo{c.now, run}
 		delete(c.stayed, id)
-		c.addSum(j, 1)
+		c.occupy(j, id, t, 1)
 	}
 	j.Tasks[i] = t
 	if t.State != Queued || c.partOf(j, t) != c.cfg.Node {
@@ -124,10 +160,44 @@
 	}
 }
 
-func (c *Core) addSum(j *Job, k int64) {
-	if j.H.Spec != nil {
-		c.st.sums[j.H.Spec.Team] = c.st.sums[j.H.Spec.Team].Plus(j.H.Spec.Need, k)
+// occupy counts a booking in or out of its machine and its booker's share.
+func (c *Core) occupy(j *Job, id TaskID, t Task, k int64) {
+	sp := j.H.Spec
+	if sp == nil {
+		return
+	}
+	o := c.st.occ[t.Machine]
+	o.used = o.used.Plus(sp.Need, k)
+	o.n += int(k)
+	o.run += k * c.booked[id].run
+	if whole(sp) {
+		o.whole += int(k)
+	}
+	o.zone = t.Zone
+	c.st.occ[t.Machine] = o
+	by := c.st.sums[sp.Team]
+	if by == nil {
+		by = map[string]Res{}
+		c.st.sums[sp.Team] = by
+	}
+	by[t.Part] = by[t.Part].Plus(sp.Need, k)
+}
+
+// inPack keeps the index of a pack's jobs.
+func (c *Core) inPack(j *Job, in bool) {
+	if j.H.Pack == "" {
+		return
+	}
+	p := c.st.packs[j.H.Pack]
+	if !in {
+		delete(p, j.ID)
+		return
+	}
+	if p == nil {
+		p = map[string]*Job{}
+		c.st.packs[j.H.Pack] = p
 	}
+	p[j.ID] = j
 }
 
 // apply takes one key's newer value into the cache. Older or equal stamps are
@@ -178,6 +248,22 @@
 			return
 		}
 		c.applyHeader(id, h)
+	case strings.HasPrefix(kv.Key, prePack):
+		if del {
+			return
+		}
+		var ch chunkValue
+		if bad(json.Unmarshal(kv.Value, &ch)) {
+			return
+		}
+		c.st.sizes[kv.Key] = len(kv.Value)
+		for id, text := range ch.J {
+			if j := c.st.jobs[id]; j != nil && j.H.Spec != nil && prePack+j.H.Pack == kv.Key {
+				if bad(ch.tasks(text, func(i int, t Task) { c.setTaskAt(j, i, t) })) {
+					return
+				}
+			}
+		}
 	case strings.HasPrefix(kv.Key, preTask):
 		id, ks, _ := strings.Cut(kv.Key[len(preTask):], "/")
 		k, err := strconv.Atoi(ks)
@@ -188,14 +274,12 @@
 		if del {
 			return
 		}
-		var ch Chunk
+		var ch chunkValue
 		if bad(json.Unmarshal(kv.Value, &ch)) {
 			return
 		}
-		for x, t := range ch.T {
-			if i := k*j.H.Chunk + x; i < j.H.N {
-				c.setTask(j, i, t)
-			}
+		if bad(ch.tasks(ch.J[id], func(x int, t Task) { c.setTaskAt(j, k*j.H.Chunk+x, t) })) {
+			return
 		}
 	case strings.HasPrefix(kv.Key, preTeam):
 		var t Team
@@ -203,18 +287,13 @@
 			return
 		}
 		c.st.teams[kv.Key[len(preTeam):]] = t
+		delete(c.lowered, kv.Key[len(preTeam):])
 	case strings.HasPrefix(kv.Key, preMach):
-		name := kv.Key[len(preMach):]
-		if del {
-			delete(c.st.marks, name)
-			return
-		}
-		var m MachineMark
-		if bad(json.Unmarshal(kv.Value, &m)) {
+		var p MarkPage
+		if !del && bad(json.Unmarshal(kv.Value, &p)) {
 			return
 		}
-		c.st.marks[name] = m
-		c.unplaceMachine(name)
+		c.applyMarks(kv.Key[len(preMach):], p)
 	case strings.HasPrefix(kv.Key, preWindow):
 		w := &WindowRec{}
 		if del || bad(json.Unmarshal(kv.Value, w)) {
@@ -225,6 +304,45 @@
 	c.dirty = true
 }
 
+func (c *Core) setTaskAt(j *Job, i int, t Task) {
+	if i >= 0 && i < j.H.N {
+		c.setTask(j, i, t)
+	}
+}
+
+// applyMarks takes a page of marks. Marks that left it belong to machines gone
+// for long.
+func (c *Core) applyMarks(home string, p MarkPage) {
+	old := c.st.pages[home]
+	next := make(map[string]MachineMark, len(p.Drain)+len(p.Gone))
+	for n, why := range p.Drain {
+		next[n] = MachineMark{MarkDrain, why}
+	}
+	for _, n := range p.Gone {
+		next[n] = MachineMark{State: MarkGone}
+	}
+	for n := range old.Drain {
+		if _, ok := next[n]; !ok {
+			delete(c.st.marks, n)
+		}
+	}
+	for _, n := range old.Gone {
+		if _, ok := next[n]; !ok {
+			delete(c.st.marks, n)
+		}
+	}
+	for n, m := range next {
+		if c.st.marks[n] != m {
+			c.st.marks[n] = m
+			c.unplaceMachine(n)
+		}
+	}
+	c.st.pages[home] = p
+}
+
+// markHome is the page that a machine's mark is on, whoever owns the machine.
+func (c *Core) markHome(name string) string { return rendezvous(name, c.cfg.Nodes) }
+
 func (c *Core) applyHeader(id string, h *Header) {
 	j := c.st.jobs[id]
 	if j == nil {
@@ -233,6 +351,7 @@
 		if h.State == JobOpen {
 			c.insertOpen(j)
 		}
+		c.inPack(j, h.Spec != nil)
 	}
 	wasOpen := j.H.State == JobOpen
 	if h.Spec != nil {
@@ -250,6 +369,9 @@
 	if h.State == JobOpen {
 		return
 	}
+	if h.Spec == nil {
+		c.inPack(j, false)
+	}
 	if wasOpen {
 		for k, o := range c.st.open {
 			if o == j {
@@ -304,7 +426,12 @@
 	// A chunk needs its header first, so the view comes last: whoever sees
 	// view e has every change that was conditional on an earlier one.
 	for _, kv := range ev.Items {
-		c.apply(kv)
+		// The pages are read one after the other. What changed after the first
+		// comes with the watch, in order: a chunk taken now without its header
+		// would be dropped, and its stamp then hide it for good.
+		if kv.Stamp <= ev.Ledger {
+			c.apply(kv)
+		}
 	}
 	c.st.ledger = max(c.st.ledger, ev.Ledger)
 	c.synced = true
@@ -314,7 +441,7 @@
 	switch {
 	case key == keyView:
 		return 3
-	case strings.HasPrefix(key, preTask):
+	case strings.HasPrefix(key, preTask), strings.HasPrefix(key, prePack):
 		return 2
 	case strings.HasPrefix(key, preMember):
 		return 1
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -84,6 +84,7 @@
 	Part   string   `json:"p,omitempty"` // the part that the job was sent to
 	Order  uint64   `json:"q,omitempty"` // ledger when accepted: first come
 	Chunk  int      `json:"ch,omitempty"`
+	Pack   string   `json:"k,omitempty"`  // the shared value that holds all its tasks, if not own chunks
 	Chunks int      `json:"dc,omitempty"` // chunks with every task done
 	Halt   uint64   `json:"h,omitempty"`  // gangs: attempts up to it are to stop, all tasks together
 	Clean  bool     `json:"cl,omitempty"` // cancelled and every booking released
@@ -102,17 +103,12 @@
 // Task is a task as committed in its chunk. A booking names everything that a
 // run needs: attempt, machine and the machine's session.
 type Task struct {
-	State   TaskState `json:"s,omitempty"`
-	Attempt uint64    `json:"a,omitempty"`
-	Machine string    `json:"m,omitempty"`
-	Shift   uint64    `json:"h,omitempty"`
-	Part    string    `json:"p,omitempty"`
-	Zone    string    `json:"z,omitempty"`
-}
-
-// Chunk is the value of task/ID/K.
-type Chunk struct {
-	T []Task `json:"t"`
+	State   TaskState
+	Attempt uint64
+	Machine string
+	Shift   uint64
+	Part    string // queued: the part it was passed to; booked: the node that booked it
+	Zone    string
 }
 
 // View is the value of the view key.
@@ -124,10 +120,10 @@
 	Over    map[string]string `json:"o,omitempty"`
 }
 
-// MachineMark is the value of mach/NAME: absent means in use.
+// MachineMark of a machine; none means in use.
 type MachineMark struct {
-	State string `json:"s"` // MarkDrain or MarkGone
-	Why   string `json:"w,omitempty"`
+	State string // MarkDrain or MarkGone
+	Why   string
 }
 
 // Marks of machines.
@@ -140,11 +136,21 @@
 	WhySick   = "sick"
 	WhyFailed = "failed"
 	WhyStuck  = "stuck" // never booted
+	WhyDeaf   = "deaf"  // reports, but answers have no effect
 )
 
-// Team is the value of team/NAME.
+// Team is the value of team/NAME: what each node has set aside of the team's
+// limit for the bookings it made or is about to make. The sum stays within the
+// limit, and a node's bookings stay within its share.
 type Team struct {
-	Used Res `json:"u"`
+	Res map[string]Res `json:"r"`
+}
+
+// MarkPage is the value of mach/NODE: the marks of the machines whose home that
+// node is. Gone machines stand oldest first and are forgotten in that order.
+type MarkPage struct {
+	Drain map[string]string `json:"d,omitempty"` // machine -> why
+	Gone  []string          `json:"g,omitempty"`
 }
 
 // Flavor is a machine type.
@@ -184,6 +190,8 @@
 	Fence     time.Duration // age of a confirmation up to which the node acts
 	ValueB    int
 	TxnOps    int
+	WriteRate float64 // changes a second that this node plans to make; 0: no bound
+	ReadRate  float64 // requests a second that this node plans to make; 0: no bound
 	ListLag   time.Duration
 	Seed      uint64
 	Wait      map[string]float64   // class -> seconds within which its tasks should start
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -11,6 +11,14 @@
 	"brassglade/internal/tuning"
 )
 
+type bounceMark struct{ shift, tally uint64 }
+
+// move counts a machine's changes of override.
+type move struct {
+	n  int
+	at time.Duration
+}
+
 type bounce struct {
 	at     time.Duration
 	owner  string
@@ -62,13 +70,30 @@
 	return rendezvous(machine, v.Serving)
 }
 
+// ownerOf a machine under the current view.
+func (c *Core) ownerOf(machine string) string {
+	v := c.st.view
+	if v == nil {
+		return ""
+	}
+	if c.ownersOf != v {
+		c.ownersOf, c.owners = v, map[string]string{}
+	}
+	o, ok := c.owners[machine]
+	if !ok {
+		o = v.owner(machine)
+		c.owners[machine] = o
+	}
+	return o
+}
+
 func (c *Core) isLeader() bool {
 	return c.st.view != nil && c.st.view.Leader == c.cfg.Node && c.st.view.Members[c.cfg.Node] == c.inc
 }
 
 func (c *Core) owns(machine string) bool {
 	v := c.st.view
-	return v != nil && v.Members[c.cfg.Node] == c.inc && v.owner(machine) == c.cfg.Node
+	return v != nil && v.Members[c.cfg.Node] == c.inc && c.ownerOf(machine) == c.cfg.Node
 }
 
 // partOf tells whose queue a queued task belongs to. A part that doesn't
@@ -119,10 +144,22 @@
 	for _, j := range c.st.jobs {
 		j.queued = 0
 	}
+	for m, o := range v.Over {
+		if old != nil && old.Over[m] != o {
+			mv := c.moves[m]
+			if c.now-mv.at > tuning.MoveMemory {
+				mv.n = 0
+			}
+			c.moves[m] = move{mv.n + 1, c.now}
+		}
+	}
 	c.doomed = map[doom]bool{} // their transactions named the old view
-	for team, t := range c.st.teams {
-		if c.st.sums[team] != t.Used {
-			c.log(1, "team usage differs from bookings", "team", team, "used", t.Used, "bookings", c.st.sums[team])
+	clear(c.lowered)
+	for team, by := range c.st.sums {
+		for n, use := range by {
+			if have := c.st.teams[team].Res[n]; !have.Holds(limited(use, c.cfg.Teams[team].Max)) {
+				c.log(1, "bookings exceed a node's share", "team", team, "node", n, "share", have, "bookings", use)
+			}
 		}
 	}
 	if old == nil || old.Leader != v.Leader {
@@ -140,6 +177,7 @@
 	}
 	m.ownEpoch, m.ownSince, m.last200 = c.st.view.Epoch, c.now, -1
 	m.heard = c.now + tuning.TakeoverSilence
+	m.unheeded, m.sentBaton = 0, 0
 	m.deadShift = 0 // another owner may have known better meanwhile
 	clear(m.sent)
 }
@@ -147,9 +185,11 @@
 // driveView proposes a new view where the member keys, or workers that can't
 // reach their owners, ask for one. Only the conditional write decides.
 func (c *Core) driveView() {
-	if c.proposing || !c.synced || c.grant != grantMember || c.st.members[c.cfg.Node] != c.inc || c.now < c.proposeAt {
+	if c.proposing || !c.synced || c.grant != grantMember || c.st.members[c.cfg.Node] != c.inc || c.now < c.proposeAt ||
+		c.now < c.viewAt {
 		return
 	}
+	c.viewAt = c.now + min(tuning.Tick, c.pace())
 	v := c.st.view
 	next := c.desiredView()
 	if next == nil {
@@ -211,11 +251,17 @@
 		next.Serving = names
 	}
 	for m, o := range v.Over {
-		if _, ok := next.Members[o]; ok && c.st.marks[m].State != MarkGone {
+		if _, ok := next.Members[o]; ok && c.st.marks[m].State != MarkGone && rendezvous(m, next.Serving) != o {
 			next.Over[m] = o
 		}
 	}
-	for m := range over {
+	// The view must stay under the size of a value, or it could never change
+	// again: overrides have room up to a bound, and machines beyond it wait.
+	most := max(8, (c.cfg.ValueB-tuning.ViewBytes)/tuning.OverBytes)
+	for _, m := range slices.Sorted(maps.Keys(over)) {
+		if _, was := next.Over[m]; !was && len(next.Over) >= most {
+			continue
+		}
 		if next.Over[m] != c.cfg.Node {
 			next.Over[m] = c.cfg.Node
 			changed = true
@@ -241,7 +287,18 @@
 // noteBounce remembers that a worker was sent on to its owner.
 // One that had an answer in this epoch has lost its owner for certain; another
 // may only just be looking for it.
-func (c *Core) noteBounce(machine, owner string, baton uint64) {
+func (c *Core) noteBounce(machine, owner string, shift, tally, baton uint64) {
+	// A late copy of a report says nothing about the machine now, and a machine
+	// that answers don't reach comes round to all nodes: neither may move it
+	// again and again.
+	last := c.bounced[machine]
+	if shift < last.shift || shift == last.shift && tally <= last.tally {
+		return
+	}
+	c.bounced[machine] = bounceMark{shift, tally}
+	if mv := c.moves[machine]; mv.n >= tuning.MovesMost && c.now-mv.at < tuning.MoveMemory {
+		return
+	}
 	owner += "/" + c.st.view.Members[owner] // a new incarnation starts afresh
 	weight := 1
 	if baton == c.st.view.Epoch {
@@ -262,7 +319,7 @@
 	count := map[string][]string{}
 	for m, bs := range c.bounces {
 		n := 0
-		owner := c.st.view.owner(m)
+		owner := c.ownerOf(m)
 		inc := owner + "/" + c.st.view.Members[owner]
 		for _, b := range bs {
 			if c.now-b.at < tuning.BounceWindow && b.owner == inc {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 		debug.SetMemoryLimit(int64(m * tuning.MemoryShare * (1 << 20)))
 	}
 	debug.SetGCPercent(tuning.GCPercent)
-	share := tuning.BudgetShare / float64(len(s.Members)+1)
+	share := s.Share()
 	n := &Node{
 		start: time.Now(), core: core.New(s.Core(op, tuning.Seed), inc), self: s.Member,
 		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
@@ -168,7 +168,18 @@
 }
 
 func (n *Node) step(ev core.Event) {
+	// The same message goes to all peers: written once.
+	var frame []byte
 	for _, e := range n.core.Step(time.Since(n.start), ev) {
+		if x, ok := e.(core.EfPeer); ok && x.Msg.Steal == nil {
+			if frame == nil {
+				frame = peer.Encode(n.self, x.Msg)
+			}
+			if l := n.links[x.To]; l != nil {
+				l.Send(frame)
+			}
+			continue
+		}
 		n.carry(e)
 	}
 	n.ready.Store(n.core.Ready())
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -73,11 +73,13 @@
 type Client struct {
 	w, watch *wire.Client
 	b        *wire.Budget
+	gap      time.Duration // between watches
 }
 
 // New returns a client that spends the given rates.
 func New(addr string, rps, wps float64) *Client {
-	return &Client{wire.New(addr), wire.New(addr), wire.NewBudget(rps, wps)}
+	gap := max(tuning.WatchGap, time.Duration(float64(time.Second)/(tuning.WatchShare*rps)))
+	return &Client{wire.New(addr), wire.New(addr), wire.NewBudget(rps, wps), gap}
 }
 
 // Confirm compares the view's stamp without changing anything.
@@ -233,6 +235,6 @@
 	// In order of revisions; within one, headers before their chunks.
 	sort.SliceStable(ev.Items, func(a, b int) bool { return ev.Items[a].Stamp < ev.Items[b].Stamp })
 	emit(ev)
-	time.Sleep(tuning.WatchGap)
+	time.Sleep(c.gap)
 	return max(since, w.Ledger), false
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -21,6 +21,10 @@
 	// ConfirmGap is the least pause between two confirmations asked for by
 	// readers; it bounds the requests that polls can cause.
 	ConfirmGap = 60 * time.Millisecond
+	// ConfirmShare and WatchShare are the parts of a node's requests that read
+	// indexes and watches may take; the rest is for commits and renewals.
+	ConfirmShare = 0.3
+	WatchShare   = 0.35
 	// ConfirmRetry is the pause after a failed confirmation.
 	ConfirmRetry = 350 * time.Millisecond
 	// GrantLife is the life of the grant that the member key hangs on: the
@@ -37,6 +41,14 @@
 	// within the window can't reach it.
 	BounceWindow = 14 * time.Second
 	BounceCount  = 2
+	// MovesMost changes of override within MoveMemory are enough for one
+	// machine: then it is the machine that can't be reached, not its owners.
+	MovesMost  = 2
+	MoveMemory = 60 * time.Second
+	// ViewBytes is kept in the view for all but overrides; OverBytes is what
+	// one of these takes at most.
+	ViewBytes = 1200
+	OverBytes = 32
 	// PeerFresh is the age up to which a peer's word shows that no cut lies
 	// between it and this node.
 	PeerFresh = 4 * time.Second
@@ -66,8 +78,22 @@
 	BudgetShare = 0.92
 	// TxnBytes bounds the text of one transaction, under the 64 KiB limit.
 	TxnBytes = 44 << 10
-	// TaskBytes is the room one task may take in its chunk.
-	TaskBytes = 96
+	// TaskBytes is the most that one booked task takes in its chunk, with long
+	// sessions and attempts; BookedBytes is what it usually takes.
+	TaskBytes   = 28
+	BookedBytes = 14
+	// ReleaseBytes is the most by which a release lengthens a chunk: it splits
+	// a run of equal tasks.
+	ReleaseBytes = 12
+	// PackSlack is kept free in a value for names and the frame.
+	PackSlack = 400
+	// PackPercent of a value is planned for when jobs are put into a pack.
+	PackPercent = 75
+	// SlackShare: a node sets aside at most this part of an equal share of a
+	// team's limit beyond its bookings; SlackTasks is the least that is worth
+	// it, in tasks. Below, each booking changes the team's key.
+	SlackShare = 16
+	SlackTasks = 8
 	// HeaderBytes is the room kept for a job header's fixed part.
 	HeaderBytes = 3000
 )
@@ -89,9 +115,13 @@
 
 // Workers.
 const (
-	// CheckinHold is how long an answer waits for a commit already on its way
-	// that would add orders to it; the worker waits 4 s.
-	CheckinHold = 350 * time.Millisecond
+	// CheckinHold is how long an answer waits for orders that are on their way,
+	// or for a first task if the machine is idle; the worker waits 4 s, and a
+	// slow node must still be in time.
+	CheckinHold = 2 * time.Second
+	// UnheededMost reports in a row that show no effect of the answers before
+	// them mean a machine that can't be reached.
+	UnheededMost = 2
 	// Silent is the silence after which a machine counts as lost, if most
 	// others of its owner still report.
 	Silent = 13 * time.Second
@@ -120,6 +150,10 @@
 const (
 	// Tick drives the core when nothing else does.
 	Tick = 100 * time.Millisecond
+	// PaceMachine is the pause between plans for each machine heard of; what a
+	// plan costs grows with them. PaceMost bounds it.
+	PaceMachine = 400 * time.Microsecond
+	PaceMost    = 400 * time.Millisecond
 	// DrawEvery refreshes the draws' view of other parts.
 	DrawEvery = 2 * time.Second
 	// Window is the learning window: weights are updated at its end.
@@ -161,6 +195,12 @@
 	// StartLag in seconds is what passes, besides its run, between a task's
 	// booking and its committed end: check-ins, part of a fetch, reports.
 	StartLag = 8.0
+	// DrawMost bounds the machines among which one task is drawn.
+	DrawMost = 16
+	// StealLots and StealMost bound one round of looking for work of other
+	// parts: jobs looked at, and machines that ask.
+	StealLots = 32
+	StealMost = 8
 	// HandoverMost bounds the tasks of one steal.
 	HandoverMost = 8
 	// GangHold is how long the leader keeps room for a gang that doesn't fit.
@@ -187,6 +227,10 @@
 	HeadroomPercent = 8
 	// HoldBonus in seconds favours machines already held over others.
 	HoldBonus = 10.0
+	// RentPlans bounds the machines planned in one decision, RentsAtOnce the
+	// requests it makes: the cloud's rate lets a few through each second.
+	RentPlans   = 600
+	RentsAtOnce = 8
 	// RentMost is the largest count of one rental, by the protocol.
 	RentMost = 50
 	// ReturnMost is the largest number of names in one return.
