--- /dev/null
+++ b/internal/core/chunk_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	json "github.com/goccy/go-json"
+)
+
+// TestChunkText: what is written is read back, for any mix of states, and a
+// full job of booked tasks stays as short as packs are planned for.
+func TestChunkText(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for round := 0; round < 300; round++ {
+		ts := make([]Task, 1+r.IntN(60))
+		for i := range ts {
+			switch r.IntN(4) {
+			case 0:
+				ts[i] = Task{State: Done}
+			case 1:
+				ts[i] = Task{Attempt: uint64(r.IntN(3)), Part: []string{"", "c-1"}[r.IntN(2)]}
+			case 2:
+				ts[i] = Task{State: Booked, Machine: "n-00000" + string(rune('0'+r.IntN(5))), Shift: 1, Attempt: 1, Zone: "a", Part: "c-0"}
+			case 3:
+				ts[i] = Task{State: Booked, Machine: "n-000007", Shift: uint64(1 + r.IntN(3)), Attempt: uint64(1 + r.IntN(2)), Zone: "b", Part: "c-2"}
+			}
+		}
+		v := chunkValue{J: map[string]string{}}
+		v.put("job-000001", ts)
+		var back chunkValue
+		if err := json.Unmarshal(enc(v), &back); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]Task, len(ts))
+		if err := back.tasks(back.J["job-000001"], func(i int, x Task) { got[i] = x }); err != nil {
+			t.Fatalf("%q: %v", v.J, err)
+		}
+		if !reflect.DeepEqual(got, ts) {
+			t.Fatalf("%q:\n got %v\nwant %v", v.J, got, ts)
+		}
+	}
+	for _, bad := range []string{"", "x", "?", "?1,2", "?1,a,0", "*1|n", "*1|n,0,9:0", "!99999999999", "?1;;!2"} {
+		v := chunkValue{D: []string{"a"}}
+		if v.tasks(bad, func(int, Task) {}) == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,8 @@
 	stealAt time.Duration
 	give    []TaskID // tasks to hand over, with c.giveTo
 	giveTo  map[TaskID]string
+	giveJob map[string]string // untouched jobs to pass whole
+	keepJob map[string]bool   // drew to stay in this part
 	runs    map[string]*runStat
 	booked  map[TaskID]bookInfo
 	lowered map[string]Res  // shares whose lowering may land late
@@ -97,6 +99,8 @@
 	mean     float64
 	meanAt   time.Duration // < 0: none
 	waitIn   map[string]int64
+	waitAll  int64
+	avoid    map[string]time.Duration // chunk keys left out of commits until then
 	waitAt   time.Duration
 
 	ownersOf *View // that owners was made for
@@ -141,11 +145,13 @@
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
 		held: map[uint64]*heldCheckin{}, peers: map[string]*peerView{},
+		giveJob: map[string]string{}, keepJob: map[string]bool{},
 		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
 	c.tokens = cfg.WriteRate
+	c.avoid = map[string]time.Duration{}
 	c.fleet.init()
 	c.learn.init(cfg.Node)
 	return c
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -48,6 +48,7 @@
 	tellAt    time.Duration
 	unheard   map[string]time.Duration
 	wholeSeen map[string]wholeSeen
+	wholeRate map[string]float64 // tasks a second that came lately, by class
 }
 
 type wholeSeen struct {
@@ -307,10 +308,14 @@
 	}
 	claims := c.claims()
 	var l []need
+	came := map[string]int{}
 	for _, j := range c.st.open {
 		sp := j.H.Spec
 		if whole(sp) {
 			c.fleet.wholeSeen[sp.Class] = wholeSeen{sp, c.now}
+			if c.now-time.Duration(j.seenAt) < tuning.RateWindow {
+				came[sp.Class] += j.H.N
+			}
 		}
 		if j.nQ == 0 || j.errs > 3 {
 			continue
@@ -328,6 +333,10 @@
 			l = append(l, need{sp, n})
 		}
 	}
+	c.fleet.wholeRate = map[string]float64{}
+	for class, n := range came {
+		c.fleet.wholeRate[class] = float64(n) / tuning.RateWindow.Seconds()
+	}
 	return l
 }
 
@@ -406,7 +415,7 @@
 			f.hold[x.k.Name] = true
 			if x.k.busy == 0 {
 				idle++
-			} else if x.low && idle < n {
+			} else if x.low && idle < waiting {
 				f.evict[x.k.Name] = true
 				idle++
 			}
@@ -499,13 +508,17 @@
 // spare is how many machines are kept ready for a class whose tasks should
 // start sooner than a machine boots.
 func (c *Core) spare(sp *Spec) int {
+	most := max(c.cfg.Spare, int(math.Ceil(c.fleet.wholeRate[sp.Class]*tuning.SpareSeconds)))
+	if c.cfg.Spare == 0 {
+		most = 0
+	}
 	w, ok := c.cfg.Wait[sp.Class]
 	if !ok {
 		return 0
 	}
 	for i := range c.st.flavors {
-		if fl := &c.st.flavors[i]; c.typeFits(sp, fl) && w < fl.BootS+sp.ImageGB/max(fl.Fetch, 0.01) {
-			return c.cfg.Spare
+		if fl := &c.st.flavors[i]; c.typeFits(sp, fl) && w < tuning.SpareReach*(fl.BootS+sp.ImageGB/max(fl.Fetch, 0.01)) {
+			return most
 		}
 	}
 	return 0
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -104,6 +104,9 @@
 // bookWhole adds a job's bookings to the draft; false: the draft is full.
 func (c *Core) bookWhole(d *draft, j *Job, ms []inv) bool {
 	sp := j.H.Spec
+	if c.shun(j, 0) {
+		return true
+	}
 	if sp.Shape == Gang && j.nQ < sp.N || d.changed[TaskID{j.ID, 0}] && sp.Shape == Gang {
 		return true // some of the old attempt are not proven off yet
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -232,6 +232,8 @@
 	}
 	if pack, ok := c.packFor(e.Spec, h.Part); ok {
 		h.Pack, h.Chunk = pack, h.N
+	} else if whole(e.Spec) && h.N <= tuning.InHeader {
+		h.In, h.Chunk = true, h.N
 	}
 	t := Txn{When: []Cond{{keyJob(e.ID), 0}}, Apply: []Put{{Key: keyJob(e.ID), Value: enc(h)}}}
 	c.commit(LaneUser, t, func(r CommitResult, _ EvCommit) {
@@ -239,7 +241,7 @@
 		switch r {
 		case Committed:
 			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part,
-				"team", e.Spec.Team, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
+				"team", e.Spec.Team, "waiting", c.waitIn, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
 			if j := c.st.jobs[e.ID]; j != nil {
 				c.say(e.Req, 201, j)
 			}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -235,8 +235,10 @@
 	ts := make([]target, len(mine))
 	for i, m := range mine {
 		f := c.flavor(m.Type)
-		ts[i] = target{m: m, f: f, load: c.load(m), free: c.free(m.Name, f.Size, nil), queued: int64(c.queueLen(m))}
+		ts[i] = target{m: m, f: f, load: c.load(m), free: c.free(m.Name, f.Size, nil), queued: int64(c.queueLen(m)), pend: c.coming(m)}
 	}
+	c.setScarce(ts)
+	wide := c.wide()
 	c.poolRun = 0
 	room := c.newTeamRoom()
 	for _, j := range c.byUrgency() {
@@ -244,6 +246,9 @@
 		if j.Tasks == nil && !home {
 			continue
 		}
+		if c.giveJob[j.ID] != "" || wide && home && c.passJob(j, ts) {
+			continue
+		}
 		full := false
 		var cs []choice // made for the first task of the job, kept up for the others
 		for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
@@ -258,7 +263,7 @@
 			}
 			if full || !room.fits(j.H.Spec) || !c.place(j, id, t, cs, ts) {
 				full = true
-				if f := c.anyFlavor(j.H.Spec); f != nil {
+				if f := c.anyFlavor(j.H.Spec); f != nil && !j.late {
 					c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
 				}
 				continue
@@ -280,6 +285,30 @@
 	load   float64
 	free   Res
 	queued int64
+	pend   []string // images on their way or about to be
+	scarce bool     // more waits than there is room for
+}
+
+// coming lists the images that a machine's tasks still wait for.
+func (c *Core) coming(m *Machine) []string {
+	var l []string
+	add := func(id TaskID) {
+		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil {
+			im := j.H.Spec.Image
+			if _, ok := m.images[im]; !ok && im != "" && !slices.Contains(l, im) {
+				l = append(l, im)
+			}
+		}
+	}
+	for id := range c.st.byMach[m.Name] {
+		add(id)
+	}
+	for _, id := range m.queue {
+		if c.placed[id] == m.Name {
+			add(id)
+		}
+	}
+	return l
 }
 
 // packCost makes draws prefer fuller and cheaper machines among those where a task starts
@@ -291,12 +320,34 @@
 	if room <= 0 || all == 0 {
 		return 0
 	}
+	pack := tuning.PackRuns
+	if t.scarce {
+		pack = 0 // no machine will stay empty, and crowding slows its fetches
+	}
 	price := t.f.Price
 	if t.m.Spot {
 		price = t.f.Spot
 	}
 	dear := min(price/float64(all)/cheap, tuning.DearMost)
-	return c.runTime(sp) * (tuning.PackRuns*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
+	return c.runTime(sp) * (pack*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
+}
+
+// setScarce compares what waits in this part with its room, in the amount that
+// its machines have least of.
+func (c *Core) setScarce(ts []target) {
+	var want, room Res
+	for _, j := range c.st.open {
+		if j.nQ > 0 && !whole(j.H.Spec) && c.partOf(j, Task{}) == c.cfg.Node {
+			want = want.Plus(j.H.Spec.Need, int64(j.nQ-j.queued))
+		}
+	}
+	for i := range ts {
+		room = room.Plus(ts[i].free, 1)
+	}
+	scarce := 2*want.CPU > room.CPU || 2*want.GPU > room.GPU || 2*want.Mem > room.Mem
+	for i := range ts {
+		ts[i].scarce = scarce
+	}
 }
 
 // leastPrice is the least price of a slot for a task of the job.
@@ -376,6 +427,7 @@
 	})
 	js := make([]*Job, 0, len(l))
 	for _, x := range l {
+		x.j.late = len(x.goals) > 0 && x.tier >= len(x.goals)
 		if x.j.queued < min(x.j.nQ, tuning.QueuedPerJob) {
 			js = append(js, x.j)
 		}
@@ -505,8 +557,15 @@
 		return false
 	}
 	x.load, x.cost = t.load, 0
-	if _, ok := t.m.images[sp.Image]; !ok && t.f.Fetch > 0 {
-		x.cost = sp.ImageGB / t.f.Fetch
+	if _, ok := t.m.images[sp.Image]; !ok && t.f.Fetch > 0 && sp.Image != "" {
+		// Fetches share the machine's rate: another image delays all that wait
+		// there, while one already on its way is half there.
+		fetch, others := sp.ImageGB/t.f.Fetch, float64(len(t.pend))
+		if slices.Contains(t.pend, sp.Image) {
+			x.cost = fetch * others / 2
+		} else {
+			x.cost = fetch * (1 + tuning.FetchShare*others)
+		}
 	}
 	x.cost += c.packCost(t, sp, cheap)
 	return true
@@ -535,7 +594,7 @@
 	sp := j.H.Spec
 	cs := best(all, tuning.DrawMost)
 	// A task is passed once at most, so that it can't wander.
-	if t.Part == "" && !c.stayed[id] {
+	if t.Part == "" && !c.stayed[id] && !c.wide() {
 		if len(cs) == 0 {
 			cs = append(cs, choice{name: c.cfg.Node, load: c.meanLoad()})
 		}
@@ -568,6 +627,9 @@
 	m, x := cs[k].m, cs[k].t
 	c.enqueue(id, m)
 	x.queued++
+	if _, ok := m.images[sp.Image]; !ok && sp.Image != "" && !slices.Contains(x.pend, sp.Image) {
+		x.pend = append(x.pend, sp.Image)
+	}
 	x.load = c.load(m)
 	cheap := c.leastPrice(sp)
 	for i := range all {
@@ -579,6 +641,60 @@
 	return true
 }
 
+// wide: the parts are so large that jobs are passed and stolen whole, as long as
+// none of their tasks was booked. One by one, tasks of most jobs would lie in
+// parts other than the one whose value holds them, and two nodes' commits of
+// one value at a time keep failing each other.
+func (c *Core) wide() bool {
+	n := len(c.mach)
+	for _, p := range c.peers {
+		n += len(p.machines)
+	}
+	c.sentTo("")
+	return n > tuning.WideFleet || c.waitAll > tuning.WideBacklog
+}
+
+// untouched: nothing of the job was booked or handed over yet.
+func untouched(j *Job) bool { return j.Tasks == nil && j.nQ == j.H.N }
+
+// passJob draws once whether a job of which nothing could start here stays in
+// this part or goes to another, each at its mean load; true: it goes. The part
+// was chosen for its room a moment ago, so the job first gets a chance there.
+func (c *Core) passJob(j *Job, ts []target) bool {
+	sp := j.H.Spec
+	if !untouched(j) || j.H.Hops > 0 || c.keepJob[j.ID] || j.queued > 0 ||
+		c.now-time.Duration(j.seenAt) < tuning.StealAfter {
+		return false
+	}
+	var cs []choice
+	for i := range ts {
+		if t := &ts[i]; t.f.Size.Holds(sp.Need) && c.fits(sp, t.m.Type, t.m.Zone, t.m.Spot) {
+			cs = append(cs, choice{name: c.cfg.Node, load: c.meanLoad()})
+			break
+		}
+	}
+	for _, n := range c.st.view.Serving {
+		if p := c.peers[n]; n != c.cfg.Node && p != nil && c.now-p.at <= 3*tuning.DrawEvery && c.peerFits(p, sp) {
+			cs = append(cs, choice{name: n, load: p.load, cost: tuning.PassCost})
+		}
+	}
+	k := c.draw(&c.learn.arrive, cs)
+	if k < 0 {
+		return false
+	}
+	c.keepJob[j.ID] = true
+	to := cs[k].name
+	if to == c.cfg.Node {
+		return false
+	}
+	c.giveJob[j.ID] = to
+	c.dirty = true
+	if p := c.peers[to]; len(p.machines) > 0 {
+		p.load += c.runTime(sp) * float64(j.H.N) / float64(4*len(p.machines))
+	}
+	return true
+}
+
 // peerFits: the peer has a machine that may take a task of the job. The answer
 // is kept for as long as the peer's word.
 func (c *Core) peerFits(p *peerView, sp *Spec) bool {
@@ -719,10 +835,20 @@
 		parts map[string]bool
 	}
 	var lots []lot
+	wide := c.wide()
+	idle := map[option]int64{}
+	for _, m := range mine {
+		if len(m.queue) == 0 {
+			idle[option{m.Type, m.Zone, m.Spot}]++
+		}
+	}
 	for _, j := range c.st.open {
 		if j.nQ == 0 || whole(j.H.Spec) || !within(c.teamUsed(j.H.Spec.Team, nil).Plus(j.H.Spec.Need, 1), c.cfg.Teams[j.H.Spec.Team].Max) {
 			continue
 		}
+		if wide && (!untouched(j) || c.now-time.Duration(j.seenAt) < tuning.StealAfter) {
+			continue
+		}
 		x := lot{j.H.Spec, map[string]bool{}}
 		home := c.partOf(j, Task{})
 		for i := 0; i < j.H.N && i < 256; i++ {
@@ -765,8 +891,13 @@
 		}
 		if k := c.draw(&c.learn.steal, cs); k >= 0 {
 			sent++
+			most := tuning.HandoverMost
+			if n := idle[option{m.Type, m.Zone, m.Spot}]; wide {
+				free, most = Res{}.Plus(free, n), tuning.HandoverMost*int(n)
+				sent = tuning.StealMost // one for all alike
+			}
 			c.emit(EfPeer{To: cs[k].name, Msg: PeerMsg{Epoch: c.st.view.Epoch, Steal: &Steal{
-				Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free, Most: tuning.HandoverMost}}})
+				Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free, Most: most}}})
 		}
 	}
 }
@@ -793,6 +924,22 @@
 		c.giveTo[id] = from
 		c.dirty = true
 	}
+	if c.wide() {
+		for _, j := range c.st.open {
+			sp := j.H.Spec
+			if whole(sp) || !untouched(j) || j.queued > 0 || c.giveJob[j.ID] != "" || c.partOf(j, Task{}) != c.cfg.Node ||
+				j.H.Hops >= tuning.HopsMost || !c.fits(sp, s.Type, s.Zone, s.Spot) {
+				continue
+			}
+			if fit := room.Times(sp.Need, int64(sp.N)); 2*fit >= int64(sp.N) && n < s.Most {
+				c.giveJob[j.ID] = from
+				c.dirty = true
+				room = room.Plus(sp.Need, -fit)
+				n += sp.N
+			}
+		}
+		return
+	}
 	// Unplaced ones first, then those that can't start where they queue.
 	for _, j := range c.st.open {
 		if j.nQ == 0 || whole(j.H.Spec) || j.queued >= j.nQ || n >= s.Most {
@@ -828,10 +975,11 @@
 // roomiest is the part with the most room for a job: slots free, else the
 // least load.
 func (c *Core) roomiest(sp *Spec) string {
-	room := map[string]int64{}
+	room, slots := map[string]int64{}, map[string]int64{}
 	for _, m := range c.inventory() {
 		if f := c.flavor(m.typ); f != nil && c.fits(sp, m.typ, m.zone, m.spot) && !c.kept(m.name) {
 			room[m.owner] += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
+			slots[m.owner] += f.Size.Times(sp.Need, 64)
 		}
 	}
 	best, bestV := c.cfg.Node, math.Inf(-1)
@@ -842,8 +990,14 @@
 		} else if p := c.peers[n]; p != nil {
 			load = p.load
 		}
-		// What was sent there lately is not in the bookings yet.
-		v := float64(min(room[n]-c.sentTo(n), int64(sp.N)))*1000 - load
+		// What waits there is not in the bookings yet. Parts without room are
+		// compared by what waits for each of their slots: otherwise all jobs
+		// would go to the one whose backlog happens to be shortest.
+		left := room[n] - c.sentTo(n)
+		v := float64(min(left, int64(sp.N)))*1000 - load
+		if left < int64(sp.N) && c.wide() {
+			v = float64(left) / float64(max(slots[n], 1))
+		}
 		if v > bestV {
 			best, bestV = n, v
 		}
@@ -851,14 +1005,18 @@
 	return best
 }
 
-// sentTo counts the tasks of open jobs that wait in a part.
+// sentTo counts the tasks of open jobs that wait in a part, less those of jobs
+// late beyond all aims, which others go ahead of.
 func (c *Core) sentTo(part string) int64 {
-	if c.waitAt != c.now {
+	if c.waitAt < 0 || c.now-c.waitAt > c.pace()/2 {
 		c.waitAt = c.now
-		c.waitIn = map[string]int64{}
+		c.waitIn, c.waitAll = map[string]int64{}, 0
 		for _, j := range c.st.open {
 			if j.nQ > 0 && !whole(j.H.Spec) {
-				c.waitIn[c.partOf(j, Task{})] += int64(j.nQ)
+				c.waitAll += int64(j.nQ)
+				if !j.late {
+					c.waitIn[c.partOf(j, Task{})] += int64(j.nQ)
+				}
 			}
 		}
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -52,9 +52,10 @@
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
 	key := keyChunk(j, i/j.H.Chunk)
-	if !d.keys[key] {
+	header = header || j.H.In
+	if !d.keys[key] && !j.H.In {
 		n++
-		b += d.c.cfg.ValueB
+		b += d.c.valueBytes(key)
 	}
 	if header && d.heads[j.ID] == nil {
 		n++
@@ -70,6 +71,25 @@
 	return n <= d.c.cfg.TxnOps && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
 }
 
+// shun tells whether a task's chunk lost a conflict just now.
+func (c *Core) shun(j *Job, i int) bool {
+	if len(c.avoid) == 0 {
+		return false
+	}
+	k := keyChunk(j, i/j.H.Chunk)
+	if till, ok := c.avoid[k]; ok && c.now < till {
+		c.dirty = true
+		return true
+	}
+	delete(c.avoid, k)
+	return false
+}
+
+// valueBytes is what a chunk's key may take in a transaction.
+func (c *Core) valueBytes(key string) int {
+	return min(c.cfg.ValueB, c.st.sizes[key]+tuning.ValueGrow)
+}
+
 func (d *draft) cond(key string) { d.conds[key] = true }
 
 // task returns the copy of task i to change.
@@ -85,9 +105,11 @@
 		}
 		d.chunks[r] = ch
 		key := keyChunk(j, k)
-		if !d.keys[key] {
+		if j.H.In {
+			d.head(j)
+		} else if !d.keys[key] {
 			d.keys[key] = true
-			d.bytes += d.c.cfg.ValueB
+			d.bytes += d.c.valueBytes(key)
 			d.cond(key)
 		}
 		d.cond(keyJob(j.ID))
@@ -136,6 +158,16 @@
 	return Res{part(lim.CPU, left.CPU, need.CPU), part(lim.GPU, left.GPU, need.GPU), part(lim.Mem, left.Mem, need.Mem)}
 }
 
+// avoidsTeam: the team's key lost a conflict just now, and is only changed for
+// what can't do without.
+func (c *Core) avoidsTeam(name string) bool {
+	till, ok := c.avoid[preTeam+name]
+	if ok && c.now >= till {
+		delete(c.avoid, preTeam+name)
+	}
+	return ok && c.now < till
+}
+
 // limited leaves out what a team's limit does not bound.
 func limited(r, lim Res) Res {
 	if lim.CPU == 0 {
@@ -171,6 +203,10 @@
 	have := c.reserved(name)
 	slack := c.slack(name, need)
 	fits := have.Holds(use)
+	if fits && c.avoidsTeam(name) {
+		delete(d.teams, name)
+		return
+	}
 	if fits && use.Plus(slack, 2).Holds(have) {
 		delete(d.teams, name)
 		return
@@ -331,6 +367,13 @@
 		case Conflict:
 			c.log(2, "task commit conflict", "failed", e.Failed)
 			c.needRead = max(c.needRead, e.Ledger)
+			// One contested value must not keep failing all else that this node
+			// has to write: it waits a little, of random length.
+			for _, k := range e.Failed {
+				if strings.HasPrefix(k, preTeam) || strings.HasPrefix(k, prePack) || strings.HasPrefix(k, preTask) {
+					c.avoid[k] = c.now + tuning.AvoidLeast + time.Duration(c.rng.Int64N(int64(tuning.AvoidSpread)))
+				}
+			}
 		default:
 			c.log(2, "task commit not confirmed", "result", int(r))
 			c.blocked = c.now + tuning.ConfirmRetry
@@ -357,7 +400,21 @@
 	}
 	// Headers first: a cache takes a chunk only below a header.
 	for _, id := range slices.Sorted(maps.Keys(d.heads)) {
-		t.Apply = append(t.Apply, Put{Key: keyJob(id), Value: enc(d.heads[id])})
+		h := d.heads[id]
+		if h.In {
+			h.T = nil
+			if j := c.st.jobs[id]; !d.drop[id] && h.Spec != nil {
+				ts := d.chunks[ref{id, 0}]
+				if ts == nil {
+					ts = j.Tasks
+				}
+				if ts != nil {
+					h.T = &chunkValue{J: map[string]string{}}
+					h.T.put(id, ts)
+				}
+			}
+		}
+		t.Apply = append(t.Apply, Put{Key: keyJob(id), Value: enc(h)})
 	}
 	vals := map[string]*chunkValue{}
 	for key := range d.keys {
@@ -376,7 +433,7 @@
 		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.k, b.k))
 	})
 	for _, r := range refs {
-		if !d.drop[r.job] {
+		if !d.drop[r.job] && !c.st.jobs[r.job].H.In {
 			vals[keyChunk(c.st.jobs[r.job], r.k)].put(r.job, d.chunks[r])
 		}
 	}
@@ -424,6 +481,9 @@
 				!(c.evicted(name) && !whole(j.H.Spec)) && (j.H.Halt == 0 || j.H.Halt < t.Attempt) {
 				continue
 			}
+			if c.shun(j, id.I) {
+				continue
+			}
 			if !d.room(j, id.I, done, false) {
 				c.dirty = true
 				return
@@ -455,7 +515,7 @@
 		h := d.head(j)
 		d.drop[id] = true
 		for k := 0; k < chunks && d.ops() < c.cfg.TxnOps; k++ {
-			if key := keyChunk(j, k); c.st.stamps[key] != 0 && !d.keys[key] && j.Tasks != nil {
+			if key := keyChunk(j, k); !j.H.In && c.st.stamps[key] != 0 && !d.keys[key] && j.Tasks != nil {
 				d.keys[key] = true
 				d.bytes += c.cfg.ValueB
 				d.cond(key)
@@ -602,7 +662,10 @@
 					j.task(id.I).State != Queued || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 					continue
 				}
-				if int64(c.now) < j.hold || c.giveTo[id] != "" {
+				if int64(c.now) < j.hold || c.giveTo[id] != "" || c.giveJob[id.Job] != "" {
+					continue
+				}
+				if c.shun(j, id.I) {
 					continue
 				}
 				sp := j.H.Spec
@@ -694,6 +757,13 @@
 	if !within(used.Plus(sp.Need, 1), lim) {
 		return false
 	}
+	if c.avoidsTeam(sp.Team) {
+		own := c.st.sums[sp.Team][c.cfg.Node].Plus(d.mine[sp.Team], 1).Plus(sp.Need, 1)
+		if !c.reserved(sp.Team).Holds(limited(own, lim)) {
+			c.dirty = true
+			return false
+		}
+	}
 	return claims[sp.Team].allows(sp, used, lim)
 }
 
@@ -718,8 +788,33 @@
 	return fit(small.Plus(sp.Need, 1)) >= min(want, fit(Res{}))
 }
 
-// planHandover writes the parts of tasks passed or stolen.
+// planHandover writes the parts of jobs and tasks passed or stolen.
 func (c *Core) planHandover(d *draft) {
+	for _, id := range slices.Sorted(maps.Keys(c.giveJob)) {
+		to, j := c.giveJob[id], c.st.jobs[id]
+		if d.ops() >= c.cfg.TxnOps || len(d.conds)+4 > 4*c.cfg.TxnOps {
+			c.dirty = true
+			return
+		}
+		delete(c.giveJob, id)
+		if j == nil || j.H.State != JobOpen || !untouched(j) || j.queued > 0 || !slices.Contains(c.st.view.Serving, to) ||
+			c.partOf(j, Task{}) != c.cfg.Node {
+			continue
+		}
+		h := d.head(j)
+		h.Part, h.Hops = to, h.Hops+1
+		if h.Pack != "" {
+			pack, ok := c.packFor(j.H.Spec, to)
+			if !ok {
+				pack = h.Pack
+			}
+			h.Pack = pack
+		}
+		d.notes = append(d.notes, func() {
+			c.learn.passes += j.H.N
+			c.log(2, "job handed over", "job", id, "to", to)
+		})
+	}
 	for _, id := range sortedTasks(c.giveTo) {
 		to := c.giveTo[id]
 		j := c.st.jobs[id.Job]
@@ -728,6 +823,9 @@
 			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 			continue
 		}
+		if c.shun(j, id.I) {
+			continue
+		}
 		if !d.room(j, id.I, false, true) {
 			c.dirty = true
 			return
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -28,6 +28,9 @@
 // keyChunk is where chunk k of a job is kept: in a value of its own, or in the
 // pack that it shares with other jobs of its part.
 func keyChunk(j *Job, k int) string {
+	if j.H.In {
+		return keyJob(j.ID)
+	}
 	if j.H.Pack != "" {
 		return prePack + j.H.Pack
 	}
@@ -44,6 +47,7 @@
 	nD     int
 	errs   int
 	hold   int64 // no start before this time (steady, ns): pause after errors
+	late   bool  // beyond all aims, as the last order had it
 	queued int   // tasks now in queues of machines here
 	seenAt int64
 }
@@ -272,12 +276,14 @@
 			return
 		}
 		if del {
+			delete(c.st.sizes, kv.Key)
 			return
 		}
 		var ch chunkValue
 		if bad(json.Unmarshal(kv.Value, &ch)) {
 			return
 		}
+		c.st.sizes[kv.Key] = len(kv.Value)
 		if bad(ch.tasks(ch.J[id], func(x int, t Task) { c.setTaskAt(j, k*j.H.Chunk+x, t) })) {
 			return
 		}
@@ -365,7 +371,22 @@
 			}
 		}
 	}
+	if h.State == JobOpen && h.Pack != j.H.Pack {
+		c.inPack(j, false) // passed whole: nothing of it was written there
+		j.H = h
+		c.inPack(j, true)
+	}
+	if h.Part != j.H.Part {
+		for i := 0; i < h.N && j.queued > 0; i++ {
+			c.unplace(TaskID{id, i})
+		}
+	}
 	j.H = h
+	if h.T != nil {
+		if err := h.T.tasks(h.T.J[id], func(i int, t Task) { c.setTaskAt(j, i, t) }); err != nil {
+			c.log(0, "unreadable value", "key", keyJob(id), "err", err.Error())
+		}
+	}
 	if h.State == JobOpen {
 		return
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -78,16 +78,19 @@
 
 // Header is the value of job/ID.
 type Header struct {
-	State  JobState `json:"st"`
-	Spec   *Spec    `json:"s,omitempty"`
-	N      int      `json:"n"`
-	Part   string   `json:"p,omitempty"` // the part that the job was sent to
-	Order  uint64   `json:"q,omitempty"` // ledger when accepted: first come
-	Chunk  int      `json:"ch,omitempty"`
-	Pack   string   `json:"k,omitempty"`  // the shared value that holds all its tasks, if not own chunks
-	Chunks int      `json:"dc,omitempty"` // chunks with every task done
-	Halt   uint64   `json:"h,omitempty"`  // gangs: attempts up to it are to stop, all tasks together
-	Clean  bool     `json:"cl,omitempty"` // cancelled and every booking released
+	State  JobState    `json:"st"`
+	Spec   *Spec       `json:"s,omitempty"`
+	N      int         `json:"n"`
+	Part   string      `json:"p,omitempty"` // the part that the job was sent to
+	Order  uint64      `json:"q,omitempty"` // ledger when accepted: first come
+	Chunk  int         `json:"ch,omitempty"`
+	Hops   int         `json:"hp,omitempty"` // times that it was passed whole
+	In     bool        `json:"i,omitempty"`  // the header holds the tasks itself, in T
+	T      *chunkValue `json:"t,omitempty"`
+	Pack   string      `json:"k,omitempty"`  // the shared value that holds all its tasks, if not own chunks
+	Chunks int         `json:"dc,omitempty"` // chunks with every task done
+	Halt   uint64      `json:"h,omitempty"`  // gangs: attempts up to it are to stop, all tasks together
+	Clean  bool        `json:"cl,omitempty"` // cancelled and every booking released
 }
 
 // TaskState is the committed state of a task.
--- /dev/null
+++ b/internal/standin/bench_test.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"brassglade/internal/core"
+)
+
+// grown is a deployment of the size that the grown ones have.
+func grown(nodes, fill int) *World {
+	set := Settings()
+	set.Nodes = nil
+	for i := 0; i < nodes; i++ {
+		set.Nodes = append(set.Nodes, fmt.Sprintf("c-%d", i))
+	}
+	set.Report = 5 * time.Second
+	set.WriteRate, set.ReadRate = 25*0.92/float64(nodes), 100*0.92/float64(nodes)
+	set.Teams = map[string]core.Limits{
+		"red":  {Guar: core.Res{GPU: 800000}, Max: core.Res{GPU: 3000000}},
+		"blue": {Guar: core.Res{GPU: 800000}, Max: core.Res{GPU: 3000000}},
+	}
+	w := New(1, set)
+	w.fill = fill
+	return w
+}
+
+// feed submits arrays and gangs as they come in a grown deployment.
+func (w *World) feed(jobs int, every time.Duration) {
+	for i := 0; i < jobs; i++ {
+		id := fmt.Sprintf("job-%06d", 100000+i)
+		team := []string{"red", "blue"}[i%2]
+		sp := core.Spec{ID: id, Class: "c", Team: team, Shape: core.Array, Prio: 1, N: 20 + i%7*10,
+			Need: core.Res{CPU: 2000, GPU: 1000, Mem: 4000}, Spot: true, Image: fmt.Sprintf("img-%d", i%8), ImageGB: 2,
+			Est: 40, Ckpt: 10, Save: 2}
+		if i%4 == 3 {
+			sp.Shape, sp.N, sp.Spot, sp.Prio, sp.Class = core.Gang, 1+i%3, false, 2, "g"
+			sp.Need = core.Res{CPU: 12000, GPU: 4000, Mem: 40000}
+		}
+		w.after(time.Duration(i)*every, func() { w.Submit(sp, time.Duration(25+i%50)*time.Second) })
+	}
+}
+
+// BenchmarkGrown plays two minutes of a grown deployment; with -cpuprofile it
+// shows what the controllers spend their time on.
+func BenchmarkGrown(b *testing.B) {
+	for n := 0; n < b.N; n++ {
+		w := grown(7, 250)
+		w.feed(400, 300*time.Millisecond)
+		w.Run(2 * time.Minute)
+		b.ReportMetric(float64(w.Starts()), "starts")
+		b.ReportMetric(float64(len(w.workers)), "machines")
+		b.ReportMetric(float64(w.st.ledger), "commits")
+		if len(w.Broken) > 0 {
+			b.Fatal(w.Broken[0])
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -62,7 +62,7 @@
 				live++
 			}
 		}
-		if live >= 5 {
+		if live >= c.w.fill {
 			break
 		}
 		c.n++
@@ -126,6 +126,7 @@
 func newWorker(w *World, name, zone string, spot bool) *worker {
 	k := &worker{w: w, name: name, zone: zone, spot: spot, born: w.Now, shift: 1, tasks: map[core.TaskID]*task{}, recall: -1}
 	w.workers = append(w.workers, k)
+	w.byName[name] = k
 	boot := time.Duration(8000+w.rng.IntN(6000)) * time.Millisecond
 	w.after(boot, func() {
 		if k.gone {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -52,6 +52,8 @@
 	cl      *provider
 	workers []*worker
 	jobs    map[string]*truth
+	byName  map[string]*worker
+	fill    int               // machines a zone and kind that can be rented
 	cuts    map[string]string // "a|b" -> drop or hold
 	held    map[string][]func()
 }
@@ -86,7 +88,7 @@
 func New(seed uint64, set core.Settings) *World {
 	w := &World{
 		rng: rand.New(rand.NewPCG(seed, 7)), set: set, jobs: map[string]*truth{},
-		cuts: map[string]string{}, held: map[string][]func(){},
+		cuts: map[string]string{}, held: map[string][]func(){}, byName: map[string]*worker{}, fill: 5,
 	}
 	w.st = newService(w)
 	w.cl = &provider{w: w, hires: map[string][]string{}, up: true}
@@ -380,12 +382,7 @@
 }
 
 func (w *World) worker(name string) *worker {
-	for _, k := range w.workers {
-		if k.name == name {
-			return k
-		}
-	}
-	return nil
+	return w.byName[name]
 }
 
 // Submit sends a job and repeats it until it is accepted; then polls.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -76,15 +76,27 @@
 	// BudgetShare is the part of the published rates that all nodes together
 	// plan to use; the rest is for clocks and retries.
 	BudgetShare = 0.92
+	// LanesAhead lanes (views, users) may run up AheadSeconds of debt in
+	// changes; the state service's own bursts cover that.
+	LanesAhead   = 2
+	AheadSeconds = 3.0
 	// TxnBytes bounds the text of one transaction, under the 64 KiB limit.
 	TxnBytes = 44 << 10
 	// TaskBytes is the most that one booked task takes in its chunk, with long
 	// sessions and attempts; BookedBytes is what it usually takes.
 	TaskBytes   = 28
-	BookedBytes = 14
+	BookedBytes = 9
+	// InHeader is the most tasks of a job placed whole that its header holds.
+	InHeader = 16
 	// ReleaseBytes is the most by which a release lengthens a chunk: it splits
 	// a run of equal tasks.
 	ReleaseBytes = 12
+	// AvoidLeast and AvoidSpread: how long a chunk that lost a conflict is left
+	// out of this node's commits.
+	AvoidLeast  = 150 * time.Millisecond
+	AvoidSpread = time.Second
+	// ValueGrow is planned for what one commit adds to a value.
+	ValueGrow = 2000
 	// PackSlack is kept free in a value for names and the frame.
 	PackSlack = 400
 	// PackPercent of a value is planned for when jobs are put into a pack.
@@ -92,8 +104,8 @@
 	// SlackShare: a node sets aside at most this part of an equal share of a
 	// team's limit beyond its bookings; SlackTasks is the least that is worth
 	// it, in tasks. Below, each booking changes the team's key.
-	SlackShare = 16
-	SlackTasks = 8
+	SlackShare = 4
+	SlackTasks = 16
 	// HeaderBytes is the room kept for a job header's fixed part.
 	HeaderBytes = 3000
 )
@@ -188,6 +200,9 @@
 	// PackRuns is, in run times, what an empty machine costs a draw beside a
 	// nearly full one; more than one outweighs the loads' difference.
 	PackRuns = 2.0
+	// FetchShare is what each other image on its way to a machine adds to the
+	// cost of a fetch there, in fetches: its own delay and that of the others.
+	FetchShare = 2.0
 	// DearRuns is, in run times, what a machine at twice the least price for
 	// the task costs a draw; DearMost bounds the multiple.
 	DearRuns = 1.0
@@ -201,6 +216,14 @@
 	// parts: jobs looked at, and machines that ask.
 	StealLots = 32
 	StealMost = 8
+	// WideFleet is the number of machines heard of above which jobs are passed
+	// and stolen whole. HopsMost bounds how often one is, StealAfter is how
+	// long it stays where it was sent before others may ask for it.
+	// WideBacklog waiting tasks count like that many machines.
+	WideFleet   = 150
+	WideBacklog = 600
+	HopsMost    = 3
+	StealAfter  = 3 * time.Second
 	// HandoverMost bounds the tasks of one steal.
 	HandoverMost = 8
 	// GangHold is how long the leader keeps room for a gang that doesn't fit.
@@ -225,6 +248,14 @@
 	RestSticky = 1.2
 	// HeadroomPercent of what runs is kept free on top before machines rest.
 	HeadroomPercent = 8
+	// RateWindow is the time over which arrivals of whole jobs are counted.
+	// Machines are kept ready for what comes within SpareSeconds: those that
+	// fall free elsewhere make up for them by then.
+	RateWindow   = 60 * time.Second
+	SpareSeconds = 20.0
+	// SpareReach: classes whose tasks should start within that many times what
+	// boot and fetch take have machines kept ready.
+	SpareReach = 1.5
 	// HoldBonus in seconds favours machines already held over others.
 	HoldBonus = 10.0
 	// RentPlans bounds the machines planned in one decision, RentsAtOnce the
--- a/internal/wire/budget.go
+++ b/internal/wire/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"brassglade/internal/tuning"
 )
 
 // Budget is a node's share of a published rate, spent by lanes: a waiting
@@ -50,7 +52,13 @@
 			t := b.queues[l][0]
 			// A transaction may be larger than a second's worth: it goes
 			// when there is credit, and its size is paid off afterwards.
-			if b.tok < 1 || t.writes > 0 && b.wtok < min(float64(t.writes), 0.6*b.wrate) {
+			// Views and users go ahead of that credit: others' transactions must
+			// not keep them waiting, and pay for it afterwards.
+			need := min(float64(t.writes), 0.6*b.wrate)
+			if l < tuning.LanesAhead {
+				need = -tuning.AheadSeconds * b.wrate
+			}
+			if b.tok < 1 || t.writes > 0 && b.wtok < need {
 				left = true
 				break
 			}
