Stages of one commit leave changes to each other; marks and rentals not starved

Finishes filled one transaction after the other: gangs and bookings of new jobs got none of its 8 changes, marks none of the node's changes a second (lost machines were not returned for minutes). Ruled out: team shares, capacity.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,7 @@
 	meanAt   time.Duration // < 0: none
 	waitIn   map[string]int64
 	waitAll  int64
+	relFrom  string                   // machine at which releases begin
 	avoid    map[string]time.Duration // chunk keys left out of commits until then
 	waitAt   time.Duration
 
@@ -220,13 +221,13 @@
 	if c.synced {
 		c.tellPeers()
 		c.driveReady()
+		c.driveMarks()
 		c.drivePlace()
 		c.drivePlan()
 		c.driveFleet()
 		c.driveLearn()
 		c.driveHeld()
 		c.driveMachines()
-		c.driveMarks()
 	}
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -622,6 +622,9 @@
 	hires := 0
 	for _, o := range order {
 		for n := count[o]; n > 0 && hires < tuning.RentsAtOnce; n -= tuning.RentMost {
+			if n < count[o] && f.pauses[o].n > 0 {
+				break // was short last time: one request tells
+			}
 			hires++
 			f.hireN++
 			e := EfRent{Hire: fmt.Sprintf("%s-%s-%d", c.cfg.Node, c.inc, f.hireN), Type: o.typ, Zone: o.zone, Spot: o.spot,
@@ -703,10 +706,10 @@
 	delete(f.renting, e.Hire)
 	o := option{r.e.Type, r.e.Zone, r.e.Spot}
 	p := f.pauses[o]
-	if len(e.Names) < r.e.Count {
+	if len(e.Names) < r.e.Count && c.now >= p.till {
 		d := min(tuning.NoCapacityPause<<min(p.n, 8), tuning.NoCapacityMost)
 		f.pauses[o] = pause{c.now + d, p.n + 1}
-	} else {
+	} else if len(e.Names) == r.e.Count {
 		delete(f.pauses, o)
 	}
 	for _, n := range e.Names {
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -204,7 +204,7 @@
 		}
 		// All of a gang goes in one commit, or it waits for an emptier one.
 		chunks := (sp.N + j.H.Chunk - 1) / j.H.Chunk
-		if d.ops()+chunks+1 > c.cfg.TxnOps || d.bytes+chunks*c.cfg.ValueB > tuning.TxnBytes ||
+		if d.ops()+chunks+1 > d.most || d.bytes+chunks*c.cfg.ValueB > tuning.TxnBytes ||
 			len(d.conds)+chunks+2+min(sp.N, len(c.cfg.Nodes)) > 4*c.cfg.TxnOps {
 			c.dirty = true
 			return false
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -546,10 +546,15 @@
 
 // driveMarks writes the wanted marks, page by page in one commit.
 func (c *Core) driveMarks() {
-	if c.markBusy || len(c.wantMark) == 0 || c.now < c.markAt || !c.fenceOK() || c.cfg.WriteRate > 0 && c.tokens <= 0 {
+	if c.markBusy || len(c.wantMark) == 0 || c.now < c.markAt || !c.fenceOK() || c.cfg.WriteRate > 0 && c.tokens <= -c.cfg.WriteRate*tuning.MarkDebt {
 		return
 	}
+	// Task commits spend changes as soon as there are any: marks may go into
+	// debt, or machines taken away would be neither returned nor replaced.
 	c.markAt = c.now + c.pace()
+	if c.wide() {
+		c.markAt = c.now + tuning.MarkEvery
+	}
 	pages := map[string]MarkPage{}
 	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
 	var names []string
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -31,6 +31,7 @@
 	drop    map[string]bool // jobs that are over: their tasks go
 	machs   map[string]bool
 	dooms   []doom
+	most    int // changes that the present stage may fill the draft up to
 	bytes   int
 	notes   []func()
 	used    map[string]Res // bookings of this draft, by machine
@@ -39,7 +40,7 @@
 
 func (c *Core) newDraft() *draft {
 	return &draft{
-		c: c, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
+		c: c, most: c.cfg.TxnOps, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
 		teams: map[string]Team{}, mine: map[string]Res{}, conds: map[string]bool{}, drop: map[string]bool{},
 		machs: map[string]bool{}, used: map[string]Res{}, changed: map[TaskID]bool{},
 	}
@@ -68,7 +69,7 @@
 	if grows && j.H.Pack != "" && d.c.st.sizes[key]+d.add[key]+2*tuning.TaskBytes+len(j.ID) > d.c.cfg.ValueB-tuning.PackSlack {
 		return false
 	}
-	return n <= d.c.cfg.TxnOps && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
+	return n <= d.most && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
 }
 
 // shun tells whether a task's chunk lost a conflict just now.
@@ -112,7 +113,6 @@
 			d.bytes += d.c.valueBytes(key)
 			d.cond(key)
 		}
-		d.cond(keyJob(j.ID))
 		if j.Tasks == nil {
 			d.add[key] += tuning.TaskBytes + len(j.ID)
 		}
@@ -337,9 +337,14 @@
 	c.planAt = c.now + c.pace()
 	c.dirty = false
 	d := c.newDraft()
-	c.planReleases(d)
+	// A transaction takes few changes. Each stage leaves some to those after
+	// it: finishes alone, of many jobs, would fill one after the other.
 	c.planHalts(d)
+	d.most = max(4, c.cfg.TxnOps/2)
 	c.planGangs(d)
+	d.most = max(d.ops()+2, c.cfg.TxnOps-c.cfg.TxnOps/4)
+	c.planReleases(d)
+	d.most = c.cfg.TxnOps
 	c.planBookings(d)
 	c.planHandover(d)
 	d.settleTeams()
@@ -453,7 +458,12 @@
 
 // planReleases commits outcomes and releases of this node's machines.
 func (c *Core) planReleases(d *draft) {
-	for _, name := range slices.Sorted(maps.Keys(c.st.byMach)) {
+	names := slices.Sorted(maps.Keys(c.st.byMach))
+	// Begin where the last full draft stopped, so that none is always left out.
+	k, _ := slices.BinarySearch(names, c.relFrom)
+	names = append(slices.Clone(names[k:]), names[:k]...)
+	full := false
+	for _, name := range names {
 		if !c.owns(name) {
 			continue
 		}
@@ -486,7 +496,10 @@
 			}
 			if !d.room(j, id.I, done, false) {
 				c.dirty = true
-				return
+				if !full {
+					full, c.relFrom = true, name
+				}
+				continue // others may change values that are in already
 			}
 			d.release(j, id.I, done && j.H.State == JobOpen)
 			if there && s.State == SeenEnded {
@@ -617,6 +630,7 @@
 // book puts task i of j on a machine within the draft.
 func (d *draft) book(j *Job, i int, m, zone string, shift, attempt uint64) {
 	t := d.task(j, i)
+	d.cond(keyJob(j.ID)) // it may have been cancelled or passed on
 	*t = Task{State: Booked, Attempt: attempt, Machine: m, Shift: shift, Zone: zone, Part: d.c.cfg.Node}
 	d.cond(preMach + d.c.markHome(m))
 	d.machs[m] = true
@@ -831,6 +845,7 @@
 			return
 		}
 		t := d.task(j, id.I)
+		d.cond(keyJob(j.ID))
 		d.add[keyChunk(j, id.I/j.H.Chunk)] += tuning.ReleaseBytes
 		t.Part = to
 		c.unplace(id)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -131,6 +131,11 @@
 	// or for a first task if the machine is idle; the worker waits 4 s, and a
 	// slow node must still be in time.
 	CheckinHold = 2 * time.Second
+	// MarkEvery is the pause between commits of marks in wide fleets, so that
+	// each carries many; MarkDebt is how many seconds' worth of changes they may
+	// overdraw.
+	MarkEvery = 1500 * time.Millisecond
+	MarkDebt  = 4.0
 	// UnheededMost reports in a row that show no effect of the answers before
 	// them mean a machine that can't be reached.
 	UnheededMost = 2
