--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,6 +152,14 @@
 // Share is the part of the published rates that one node plans to use.
 func (s *Settings) Share() float64 { return tuning.BudgetShare / float64(len(s.Members)+1) }
 
+// WriteShare is the same for changes. Nodes don't need theirs at the same time:
+// among many each may use more than an equal part, and a refusal by the state
+// service, should they ever coincide, costs a short pause.
+func (s *Settings) WriteShare() float64 {
+	n := float64(len(s.Members) + 1)
+	return s.Share() * min(tuning.WriteOver, max(1, n/tuning.WriteOverNodes))
+}
+
 func secs(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
 func milli(x float64) int64 { return int64(x*1000 + 0.5) }
@@ -164,7 +172,7 @@
 		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
 		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
 		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: tuning.Spare, Learn: true,
-		ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.Share(),
+		ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.WriteShare(),
 	}
 	for _, m := range s.Members {
 		c.Nodes = append(c.Nodes, m.Member)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,11 +108,13 @@
 	owners   map[string]string
 	bounced  map[string]bounceMark // newest report that was sent on, by machine
 	moves    map[string]move
-	tokens   float64 // changes that may be made now
+	overAt   map[string]time.Duration // when an override was first seen
+	tokens   float64                  // changes that may be made now
 	tokenAt  time.Duration
 	wantMark map[string]MachineMark
 	markBusy bool
 	markAt   time.Duration
+	markedAt time.Duration
 
 	planMach map[string]bool // machines that the task commit in flight concerns
 
@@ -152,7 +154,7 @@
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
 	c.tokens = cfg.WriteRate
-	c.avoid = map[string]time.Duration{}
+	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
 	c.fleet.init()
 	c.learn.init(cfg.Node)
 	return c
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -554,6 +554,16 @@
 	c.markAt = c.now + c.pace()
 	if c.wide() {
 		c.markAt = c.now + tuning.MarkEvery
+		// Idle machines can wait for others: each change of a page fails the
+		// bookings under way on the machines that share it.
+		urgent := false
+		for _, m := range c.wantMark {
+			urgent = urgent || m.State == MarkDrain && m.Why != WhyIdle
+		}
+		if !urgent && c.now-c.markedAt < tuning.MarkIdleEvery {
+			return
+		}
+		c.markedAt = c.now
 	}
 	pages := map[string]MarkPage{}
 	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -340,7 +340,7 @@
 	// A transaction takes few changes. Each stage leaves some to those after
 	// it: finishes alone, of many jobs, would fill one after the other.
 	c.planHalts(d)
-	d.most = max(4, c.cfg.TxnOps/2)
+	d.most = max(4, c.cfg.TxnOps-2)
 	c.planGangs(d)
 	d.most = max(d.ops()+2, c.cfg.TxnOps-c.cfg.TxnOps/4)
 	c.planReleases(d)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -144,7 +144,15 @@
 	for _, j := range c.st.jobs {
 		j.queued = 0
 	}
+	for m := range c.overAt {
+		if _, ok := v.Over[m]; !ok {
+			delete(c.overAt, m)
+		}
+	}
 	for m, o := range v.Over {
+		if old == nil || old.Over[m] != o {
+			c.overAt[m] = c.now
+		}
 		if old != nil && old.Over[m] != o {
 			mv := c.moves[m]
 			if c.now-mv.at > tuning.MoveMemory {
@@ -251,6 +259,9 @@
 		next.Serving = names
 	}
 	for m, o := range v.Over {
+		if c.wide() && c.now-c.overAt[m] > tuning.OverKeep {
+			continue // its worker comes back if the reason is still there
+		}
 		if _, ok := next.Members[o]; ok && c.st.marks[m].State != MarkGone && rendezvous(m, next.Serving) != o {
 			next.Over[m] = o
 		}
@@ -317,16 +328,23 @@
 // machines that this node should rather own.
 func (c *Core) unreachable() (nodes map[string]bool, machines map[string]bool) {
 	count := map[string][]string{}
+	wide := c.wide()
 	for m, bs := range c.bounces {
 		n := 0
+		first := c.now
 		owner := c.ownerOf(m)
 		inc := owner + "/" + c.st.view.Members[owner]
 		for _, b := range bs {
 			if c.now-b.at < tuning.BounceWindow && b.owner == inc {
 				n += b.weight
+				first = min(first, b.at)
 			}
 		}
-		if n >= tuning.BounceCount {
+		// In a wide fleet the workers of a node that ended come round before its
+		// grant runs out, a whole part of them: the view without that node is
+		// on its way, and moving them one by one would change the view again
+		// and again, and leave their tasks in other parts' packs.
+		if n >= tuning.BounceCount && (!wide || c.now-first >= tuning.BounceSettle) {
 			count[owner] = append(count[owner], m)
 		}
 		if n == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 		start: time.Now(), core: core.New(s.Core(op, tuning.Seed), inc), self: s.Member,
 		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
 		workers: make(chan ask, tuning.WorkerQueue), waiting: map[uint64]chan core.Effect{},
-		state:  state.New(s.External.State, s.Params.State.Rps*share, s.Params.State.WriteRps*share),
+		state:  state.New(s.External.State, s.Params.State.Rps*share, s.Params.State.WriteRps*s.WriteShare()),
 		cloud:  cloud.New(s.External.Cloud, s.Params.Cloud.Rps*tuning.BudgetShare),
 		links:  map[string]*peer.Link{},
 		direct: make(chan struct{}, tuning.DirectAtOnce), workCon: map[string]*wire.Client{},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -49,6 +49,11 @@
 	// one of these takes at most.
 	ViewBytes = 1200
 	OverBytes = 32
+	// BounceSettle is how long workers of one owner must come round before wide
+	// fleets move them: longer than the owner's grant, whose end moves all.
+	BounceSettle = GrantLife + 1500*time.Millisecond
+	// OverKeep is how long an override is kept when the view changes anyway.
+	OverKeep = 60 * time.Second
 	// PeerFresh is the age up to which a peer's word shows that no cut lies
 	// between it and this node.
 	PeerFresh = 4 * time.Second
@@ -76,6 +81,10 @@
 	// BudgetShare is the part of the published rates that all nodes together
 	// plan to use; the rest is for clocks and retries.
 	BudgetShare = 0.92
+	// WriteOver is how far the nodes' parts of the changes may overlap, from
+	// WriteOverNodes nodes on.
+	WriteOver      = 1.2
+	WriteOverNodes = 3.0
 	// LanesAhead lanes (views, users) may run up AheadSeconds of debt in
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
@@ -136,6 +145,8 @@
 	// overdraw.
 	MarkEvery = 1500 * time.Millisecond
 	MarkDebt  = 4.0
+	// MarkIdleEvery is the same when only idle machines are to be marked.
+	MarkIdleEvery = 6 * time.Second
 	// UnheededMost reports in a row that show no effect of the answers before
 	// them mean a machine that can't be reached.
 	UnheededMost = 2
