--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -241,7 +241,7 @@
 		switch r {
 		case Committed:
 			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part,
-				"team", e.Spec.Team, "waiting", c.waitIn, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
+				"team", e.Spec.Team, "image", e.Spec.Image, "image_gb", e.Spec.ImageGB, "waiting", c.waitIn, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
 			if j := c.st.jobs[e.ID]; j != nil {
 				c.say(e.Req, 201, j)
 			}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -224,6 +224,7 @@
 			m.images[j.H.Spec.Image] = c.now
 			if _, ok := m.firstRun[k]; !ok {
 				m.firstRun[k] = c.now
+				c.log(2, "task runs", "task", s.Task, "machine", m.Name, "attempt", s.Attempt)
 			}
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -241,34 +241,40 @@
 	wide := c.wide()
 	c.poolRun = 0
 	room := c.newTeamRoom()
-	for _, j := range c.byUrgency() {
-		home := c.partOf(j, Task{}) == c.cfg.Node
-		if j.Tasks == nil && !home {
-			continue
-		}
-		if c.giveJob[j.ID] != "" || wide && home && c.passJob(j, ts) {
-			continue
-		}
-		full := false
-		var cs []choice // made for the first task of the job, kept up for the others
-		for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
-			id := TaskID{j.ID, i}
-			t := j.task(i)
-			if t.State != Queued || t.Part == "" && !home || t.Part != "" && c.partOf(j, t) != c.cfg.Node ||
-				c.placed[id] != "" || c.giveTo[id] != "" {
+	js := c.byUrgency()
+	for _, r := range placeRounds(wide && len(ts) > 0 && ts[0].scarce) {
+		for _, j := range js {
+			if r.split && j.late != r.late || c.giveJob[j.ID] != "" {
 				continue
 			}
-			if !full && cs == nil {
-				cs = c.choices(j, ts)
+			home := c.partOf(j, Task{}) == c.cfg.Node
+			if j.Tasks == nil && !home || wide && home && c.passJob(j, ts) {
+				continue
 			}
-			if full || !room.fits(j.H.Spec) || !c.place(j, id, t, cs, ts) {
-				full = true
-				if f := c.anyFlavor(j.H.Spec); f != nil && !j.late {
-					c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
+			full := false
+			var cs []choice // made for the first task of the job, kept up for the others
+			for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
+				id := TaskID{j.ID, i}
+				t := j.task(i)
+				if t.State != Queued || t.Part == "" && !home || t.Part != "" && c.partOf(j, t) != c.cfg.Node ||
+					c.placed[id] != "" || c.giveTo[id] != "" {
+					continue
 				}
-				continue
+				if !full && cs == nil {
+					cs = c.choices(j, ts, r.cached)
+				}
+				if full || !room.fits(j.H.Spec) || !c.place(j, id, t, cs, ts) {
+					full = true
+					if r.cached {
+						break
+					}
+					if f := c.anyFlavor(j.H.Spec); f != nil && !j.late {
+						c.poolRun += c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
+					}
+					continue
+				}
+				room.take(j.H.Spec)
 			}
-			room.take(j.H.Spec)
 		}
 	}
 	c.stealLocal(mine)
@@ -278,6 +284,23 @@
 	}
 }
 
+// placeRound is one walk over the jobs in their order.
+type placeRound struct {
+	split  bool // only jobs that are late beyond all aims, or only the others
+	late   bool
+	cached bool // only on machines that have the image or are fetching it
+}
+
+// placeRounds: where every slot is wanted, what can still be in time goes first,
+// and within that a task whose image is there goes before one that would keep
+// the slot waiting for a fetch as long as a quarter of a run.
+func placeRounds(scarce bool) []placeRound {
+	if !scarce {
+		return []placeRound{{}}
+	}
+	return []placeRound{{true, false, true}, {true, false, false}, {true, true, true}, {true, true, false}}
+}
+
 // target is a machine as one round of placing sees it.
 type target struct {
 	m      *Machine
@@ -320,16 +343,15 @@
 	if room <= 0 || all == 0 {
 		return 0
 	}
-	pack := tuning.PackRuns
 	if t.scarce {
-		pack = 0 // no machine will stay empty, and crowding slows its fetches
+		return 0 // no machine will stay empty, and crowding slows its fetches
 	}
 	price := t.f.Price
 	if t.m.Spot {
 		price = t.f.Spot
 	}
 	dear := min(price/float64(all)/cheap, tuning.DearMost)
-	return c.runTime(sp) * (pack*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
+	return c.runTime(sp) * (tuning.PackRuns*float64(room)/float64(all) + tuning.DearRuns*(dear-1))
 }
 
 // setScarce compares what waits in this part with its room, in the amount that
@@ -572,7 +594,7 @@
 }
 
 // choices are this part's machines that may take a task of the job.
-func (c *Core) choices(j *Job, ts []target) []choice {
+func (c *Core) choices(j *Job, ts []target, cached bool) []choice {
 	sp := j.H.Spec
 	cheap := c.leastPrice(sp)
 	cs := []choice{}
@@ -581,6 +603,9 @@
 		if !c.fits(sp, t.m.Type, t.m.Zone, t.m.Spot) || !t.f.Size.Holds(sp.Need) {
 			continue
 		}
+		if _, ok := t.m.images[sp.Image]; cached && !ok && !slices.Contains(t.pend, sp.Image) {
+			continue
+		}
 		x := choice{name: t.m.Name, m: t.m, t: t}
 		if c.weigh(&x, t, sp, cheap) {
 			cs = append(cs, x)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -83,7 +83,7 @@
 	BudgetShare = 0.92
 	// WriteOver is how far the nodes' parts of the changes may overlap, from
 	// WriteOverNodes nodes on.
-	WriteOver      = 1.2
+	WriteOver      = 1.4
 	WriteOverNodes = 3.0
 	// LanesAhead lanes (views, users) may run up AheadSeconds of debt in
 	// changes; the state service's own bursts cover that.
