--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"brassglade/internal/tuning"
 )
@@ -40,12 +41,20 @@
 		n                 int
 		spot, one, spread bool
 	}
+	blocked := false
+	for _, j := range js {
+		age := c.now - time.Duration(j.seenAt)
+		blocked = blocked || j.H.Spec.N > 1 && age > tuning.GangStarve && age < tuning.GangStarve+tuning.GangBlock
+	}
 	for _, cached := range [2]bool{true, false} {
-		failed := map[kind]bool{}
+		if cached && blocked {
+			continue // strictly in order
+		}
+		failed, waits := map[kind]bool{}, map[string]bool{}
 		for _, j := range js {
 			sp := j.H.Spec
 			k := kind{sp.Team, sp.Zone, strings.Join(sp.Types, ","), sp.Need, sp.N, sp.Spot, sp.OneZone, sp.Spread}
-			if failed[k] || cached && !c.cachedSomewhere(d, sp, ms) {
+			if failed[k] || waits[sp.Team] || cached && !c.cachedSomewhere(d, sp, ms) {
 				continue
 			}
 			before := len(d.changed)
@@ -54,6 +63,15 @@
 			}
 			if len(d.changed) == before && sp.Shape == Gang && j.nQ == sp.N {
 				failed[k] = true
+				// A large gang needs several machines at once, and smaller ones that
+				// came later would take each as it falls free: for a while they wait.
+				age := c.now - time.Duration(j.seenAt)
+				if !cached && sp.N > 1 && age > tuning.GangStarve && age < tuning.GangStarve+tuning.GangBlock {
+					if within(d.teamUsed(sp.Team).Plus(sp.Need, int64(sp.N)), c.cfg.Teams[sp.Team].Max) {
+						return
+					}
+					waits[sp.Team] = true // it is its team's limit that must come free
+				}
 			}
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -421,6 +421,11 @@
 		if j.nQ == 0 || whole(sp) || int64(c.now) < j.hold {
 			continue
 		}
+		// The rule below lets the jobs with the most work give way; none of them
+		// may do so for ever.
+		if untouched(j) && age > tuning.StarveAfter.Seconds() {
+			owed = true
+		}
 		x := &urgent{j: j, owed: owed, run: c.runTime(sp) + tuning.StartLag}
 		x.work = float64(j.nQ) * c.runTime(sp) / c.slots(sp)
 		if sp.Due > 0 {
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -23,6 +23,7 @@
 // mates are gone.
 func (w *World) Watchful() {
 	w.each(w.checkPlaces)
+	w.each(w.checkKnown)
 	lost := map[string]time.Duration{}
 	w.each(func() {
 		type key struct {
@@ -77,10 +78,14 @@
 //	at T cloud down for=S
 //	at T hang MACHINE for=S          at T take MACHINE       at T notice MACHINE in=S
 //	at T sick MACHINE
+//	at T deaf MACHINE for=S          (its reports arrive, answers and commands don't)
+//	at T copies MACHINE for=S most=S (copies of its reports come late)
+//	blind                            (the checker takes no trouble for an excuse)
 //	until T
 func Play(script string) (*World, error) {
 	seed, set := uint64(1), Settings()
 	var until time.Duration
+	blind := false
 	type line struct {
 		at time.Duration
 		f  []string
@@ -95,6 +100,8 @@
 		switch f[0] {
 		case "seed":
 			seed, err = strconv.ParseUint(f[1], 10, 64)
+		case "blind":
+			blind = true
 		case "drop":
 			set.DropGuard = f[1]
 		case "until":
@@ -111,6 +118,7 @@
 		}
 	}
 	w := New(seed, set)
+	w.blind = blind
 	w.Watchful()
 	for _, l := range ls {
 		w.after(l.at, func() {
@@ -146,6 +154,9 @@
 		return def
 	}
 	dur := func(k string, def float64) time.Duration { return time.Duration(num(k, def) * float64(time.Second)) }
+	if f[0] != "submit" && f[0] != "cancel" && !w.blind {
+		w.calm = max(w.calm, w.Now+max(dur("for", 0), dur("back", 0), dur("in", 0)))
+	}
 	_, spot := opt["spot"]
 	_, oneZone := opt["onezone"]
 	switch f[0] {
@@ -190,7 +201,7 @@
 	case "cloud":
 		w.cl.up = false
 		w.after(dur("for", 20), func() { w.cl.up = true })
-	case "hang", "take", "notice", "sick":
+	case "hang", "take", "notice", "sick", "deaf", "copies":
 		k := w.worker(f[1])
 		if k == nil || k.gone {
 			w.log("no machine %s", f[1])
@@ -201,6 +212,13 @@
 			k.hang(dur("for", 20))
 		case "take":
 			k.vanish("is taken")
+		case "deaf":
+			w.log("nothing reaches %s", k.name)
+			k.deafTill = w.Now + dur("for", 60)
+		case "copies":
+			w.log("copies of reports of %s come late", k.name)
+			k.copyTill, k.copyMost = w.Now+dur("for", 30), dur("most", 30)
+			w.calm = max(w.calm, k.copyTill+k.copyMost)
 		case "sick":
 			w.log("%s fails all it starts", k.name)
 			k.sick = true
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -121,6 +121,9 @@
 	last        time.Duration
 	recall      time.Duration
 	nextForeman string
+	deafTill    time.Duration // until then nothing reaches it, though its reports arrive
+	copyTill    time.Duration // until then copies of its reports come late
+	copyMost    time.Duration
 }
 
 func newWorker(w *World, name, zone string, spot bool) *worker {
@@ -232,8 +235,19 @@
 	r := k.makeReport()
 	sent, shift := k.w.Now, k.shift
 	n := k.w.nodes[k.node]
+	if k.w.Now < k.copyTill {
+		// A copy of the report comes late, here or to another controller.
+		o := k.w.nodes[k.w.rng.IntN(len(k.w.nodes))]
+		k.w.after(time.Duration(1+k.w.rng.Int64N(int64(k.copyMost))), func() {
+			o.ask(func(q uint64) core.Event { return core.EvCheckin{Req: q, R: r} }, func(core.Effect) {})
+		})
+	}
 	k.w.call(k.name, n.name, 4*time.Second, func(reply func(any)) {
-		n.ask(func(q uint64) core.Event { return core.EvCheckin{Req: q, R: r} }, func(e core.Effect) { reply(e) })
+		n.ask(func(q uint64) core.Event { return core.EvCheckin{Req: q, R: r} }, func(e core.Effect) {
+			if k.w.Now >= k.deafTill {
+				reply(e)
+			}
+		})
 	}, func(x any) {
 		k.do(func() {
 			k.busy = false
@@ -263,6 +277,9 @@
 
 // direct carries out orders sent straight here.
 func (k *worker) direct(e core.EfDirect, reply func(any)) {
+	if k.w.Now < k.deafTill {
+		return
+	}
 	k.do(func() {
 		if e.Baton >= k.baton && e.Shift == k.shift {
 			k.baton = e.Baton
@@ -390,6 +407,7 @@
 }
 
 func (k *worker) run(id core.TaskID, t *task, j *truth) {
+	j.begun = true
 	t.state = core.SeenRunning
 	k.w.log("%s/%d try %d runs on %s (%s)", id.Job, id.I, t.attempt, k.name, k.zone)
 	k.changed()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -56,18 +56,23 @@
 	fill    int               // machines a zone and kind that can be rented
 	cuts    map[string]string // "a|b" -> drop or hold
 	held    map[string][]func()
+	calm    time.Duration // when the last trouble so far is over
+	blind   bool          // tests of the checker: troubles are no excuse
 }
 
 // truth is what really became of a job.
 type truth struct {
-	spec      core.Spec
-	run       time.Duration
-	done      map[int]bool
-	accepted  bool
-	asked     bool          // submitted by a user
-	cancelAsk bool          // its user asked to cancel it
-	cancelAt  time.Duration // when told; < 0: not
-	told      string        // final state told
+	spec       core.Spec
+	run        time.Duration
+	done       map[int]bool
+	accepted   bool
+	asked      bool          // submitted by a user
+	cancelAsk  bool          // its user asked to cancel it
+	cancelAt   time.Duration // when told; < 0: not
+	told       string        // final state told
+	acceptedAt time.Duration
+	answered   time.Duration // when a question about it was last answered
+	begun      bool          // one of its tasks ran
 }
 
 // Settings of a small deployment with three controllers and two teams.
@@ -469,7 +474,10 @@
 	if !t.asked {
 		w.broke("invented", "%s", id)
 	}
-	t.accepted = true
+	if !t.accepted {
+		t.acceptedAt = w.Now
+	}
+	t.accepted, t.answered = true, w.Now
 	if t.told != "" && u.State != t.told {
 		w.broke("went_back", "%s: %s after %s", id, u.State, t.told)
 	}
@@ -545,6 +553,21 @@
 	}
 }
 
+// checkKnown: once all troubles are over, a job about which no question is
+// answered for 75 s is forgotten, and each must begin within four minutes.
+func (w *World) checkKnown() {
+	for _, id := range w.Unfinished() {
+		t := w.jobs[id]
+		since := w.Now - max(t.answered, w.calm)
+		if since > 75*time.Second && !t.reported(w, "forgotten") {
+			w.broke("forgotten", "%s: no answer for %.0f s", id, since.Seconds())
+		}
+		if !t.begun && !t.cancelAsk && w.Now-max(t.acceptedAt, w.calm) > 4*time.Minute && !t.reported(w, "starved") {
+			w.broke("starved", "%s has not begun", id)
+		}
+	}
+}
+
 func (t *truth) reported(w *World, rule string) bool {
 	return slices.ContainsFunc(w.Broken, func(s string) bool {
 		return strings.HasPrefix(s, rule) && strings.Contains(s, t.spec.ID)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -85,7 +85,13 @@
 	for i := 0; i < 12; i++ {
 		at := 30 + r.IntN(220)
 		m := fmt.Sprintf("n-%06d", 1+r.IntN(10))
-		switch r.IntN(11) {
+		switch r.IntN(14) {
+		case 11:
+			fmt.Fprintf(&b, "at %d deaf %s for=%d\n", at, m, 20+r.IntN(80))
+		case 12:
+			fmt.Fprintf(&b, "at %d copies %s for=%d most=%d\n", at, m, 20+r.IntN(60), 5+r.IntN(50))
+		case 13:
+			fmt.Fprintf(&b, "at %d cut c-0 state %s for=40\nat %d cut c-0 c-1 drop for=40\nat %d cut c-0 c-2 drop for=40\n", at, mode(), at, at)
 		case 0:
 			fmt.Fprintf(&b, "at %d crash %s back=%.1f\n", at, node(), []float64{0.2, 4}[r.IntN(2)])
 		case 1:
@@ -139,7 +145,7 @@
 // TestCheckerBites takes one guard away at a time: the same days must then
 // break the rule that the guard keeps.
 func TestCheckerBites(t *testing.T) {
-	for guard, rule := range map[string]string{"proof": "ran_twice", "quota": "quota", "fence": "ran_twice"} {
+	for guard, rule := range map[string]string{"proof": "ran_twice", "quota": "quota", "fence": "ran_twice", "": "forgotten"} {
 		t.Run(guard, func(t *testing.T) {
 			for seed := uint64(1); seed <= 20; seed++ {
 				script := day(seed, guard)
@@ -151,6 +157,10 @@
 						"at 2 submit job-000002 array 12 red run=12\nat 30 cloud down for=150\n"+
 						"at 31 cut c-%d state hold for=90\nuntil 300\n", seed, seed%3)
 				}
+				if guard == "" {
+					// Nothing can be answered, and that counts for once.
+					script = "blind\nat 2 submit job-000001 array 2 blue run=200\nat 20 state down for=100\nuntil 150\n"
+				}
 				w, err := Play(script)
 				if err != nil {
 					t.Fatal(err)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -240,6 +240,13 @@
 	WideBacklog = 600
 	HopsMost    = 3
 	StealAfter  = 3 * time.Second
+	// StarveAfter is the age from which a job of which nothing began goes first;
+	// even the largest are to begin within four minutes.
+	StarveAfter = 150 * time.Second
+	// GangStarve is the age from which a gang of several tasks keeps later ones
+	// from the machines it needs, for GangBlock at most: it may not be possible.
+	GangStarve = 60 * time.Second
+	GangBlock  = 120 * time.Second
 	// HandoverMost bounds the tasks of one steal.
 	HandoverMost = 8
 	// GangHold is how long the leader keeps room for a gang that doesn't fit.
