--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -276,6 +276,9 @@
 			if k.Spot {
 				keep = tuning.IdleKeepSpot
 			}
+			if f.rest[k.Name] && c.wide() {
+				keep = tuning.IdleKeepRest // beyond the headroom, which grows with the fleet
+			}
 			if f.hold[k.Name] {
 				keep = tuning.IdleKeepWhole
 			}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -166,7 +166,12 @@
 	if len(m.queue) > 0 && c.bookable(m) || c.unsettled(m) {
 		return true
 	}
-	return len(m.tasks) == 0 && c.bookable(m)
+	// Room for a small task: the next one may come any moment.
+	if !c.bookable(m) || c.kept(m.Name) && len(m.tasks) > 0 {
+		return false
+	}
+	f := c.flavor(m.Type)
+	return len(m.tasks) == 0 || c.free(m.Name, f.Size, nil).Holds(Res{f.Size.CPU / 8, f.Size.GPU / 8, f.Size.Mem / 8})
 }
 
 // unsettled: m reports ended tasks whose outcome is not committed yet.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -245,8 +245,8 @@
 	StarveAfter = 150 * time.Second
 	// GangStarve is the age from which a gang of several tasks keeps later ones
 	// from the machines it needs, for GangBlock at most: it may not be possible.
-	GangStarve = 60 * time.Second
-	GangBlock  = 120 * time.Second
+	GangStarve = 120 * time.Second
+	GangBlock  = 100 * time.Second
 	// HandoverMost bounds the tasks of one steal.
 	HandoverMost = 8
 	// GangHold is how long the leader keeps room for a gang that doesn't fit.
@@ -302,6 +302,8 @@
 	IdleKeep = 20 * time.Second
 	// IdleKeepSpot is the same for spot machines, whose price is a fraction.
 	IdleKeepSpot = 60 * time.Second
+	// IdleKeepRest is the same for resting machines of wide fleets.
+	IdleKeepRest = 8 * time.Second
 	// TurnoverCredit is the share of the busy slots that counts as room: they
 	// fall free before a new machine has booted and fetched its image.
 	TurnoverCredit = 0.3
