--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,6 +38,7 @@
 	renewAt   time.Duration
 	renewSent time.Duration
 	renewing  bool
+	memberAt  time.Duration // no member key before
 
 	// confirmations: fence and read index
 	confirming  bool
@@ -268,7 +269,9 @@
 			c.emit(EfGrant{Life: tuning.GrantLife})
 		}
 	case grantHeld:
-		c.writeMember()
+		if c.now >= c.memberAt {
+			c.writeMember()
+		}
 	}
 	if c.grant >= grantHeld && !c.renewing && c.now >= c.renewAt {
 		c.renewing, c.renewSent = true, c.now
@@ -317,7 +320,10 @@
 		if r == Committed {
 			c.setGrant(grantMember)
 		} else {
-			c.renewAt = min(c.renewAt, c.now+tuning.ConfirmRetry)
+			// Not at once: a grant that ran out refuses the key each time, until
+			// the renewal says so.
+			c.memberAt = c.now + tuning.ConfirmRetry
+			c.renewAt = min(c.renewAt, c.memberAt)
 			c.setGrant(grantHeld)
 		}
 	})
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -27,3 +27,25 @@
 		t.Error("the new session, never answered, outlives its lease")
 	}
 }
+
+// TestMemberKeyIsNotHammered: a grant that ran out refuses the member key; the
+// node waits before it tries again (incident inc-16a3: eleven times in 60 ms).
+func TestMemberKeyIsNotHammered(t *testing.T) {
+	c := New(Settings{Node: "c-0", Nodes: []string{"c-0"}, Fence: 7 * time.Second}, "x")
+	c.Step(0, EvTick{})
+	c.Step(time.Millisecond, EvGrant{OK: true, Permit: 1})
+	writes := 0
+	for ms := 2; ms < 300; ms++ {
+		for id, p := range c.commits {
+			if p.t.Apply[0].Key == preMember+"c-0" {
+				writes++
+				c.Step(time.Duration(ms)*time.Millisecond, EvCommit{ID: id, Result: Refused})
+				break
+			}
+		}
+		c.Step(time.Duration(ms)*time.Millisecond, EvTick{})
+	}
+	if writes != 1 {
+		t.Errorf("written %d times in 300 ms", writes)
+	}
+}
