Held check-ins, machines' names and walks: work by what an event touched

Cause: each event looked at every held check-in again (hundreds on a node, with hundreds of events a second), sorted the names of all machines several times a plan, and walked all machines ten times a second for halts. Traces differ where two tasks of equal rank start in another order.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,9 +73,12 @@
 
 	// machines
 	mach    map[string]*Machine
+	names   []string // of mach, sorted; nil: to be made anew
 	placed  map[TaskID]string
 	doomed  map[doom]bool
-	held    map[uint64]*heldCheckin
+	held    map[string]*heldCheckin // by machine
+	touched map[string]bool         // machines whose held check-in is to be looked at again
+	heldAt  time.Duration           // no walk over all held check-ins before
 	peers   map[string]*peerView
 	drawAt  time.Duration
 	stealAt time.Duration
@@ -148,7 +151,7 @@
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
-		held: map[uint64]*heldCheckin{}, peers: map[string]*peerView{},
+		held: map[string]*heldCheckin{}, touched: map[string]bool{}, peers: map[string]*peerView{},
 		giveJob: map[string]string{}, keepJob: map[string]bool{},
 		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -91,9 +91,8 @@
 	}
 	m := c.mach[r.Machine]
 	if m == nil {
-		m = newMachine(r.Machine)
+		m = c.addMachine(r.Machine)
 		m.ownEpoch, m.ownSince = c.st.view.Epoch, c.now
-		c.mach[r.Machine] = m
 	}
 	// A session given up, or a machine that the cloud took back, must not be
 	// kept alive by an answer: its tasks may already run elsewhere.
@@ -108,18 +107,16 @@
 	}
 	c.heed(m, &r)
 	c.takeReport(m, &r, true)
-	for id, h := range c.held {
-		if h.machine == m.Name { // given up by the worker
-			delete(c.held, id)
-			c.emit(EfCheckin{Req: h.req, Status: 503})
-		}
+	if h := c.held[m.Name]; h != nil { // given up by the worker
+		delete(c.held, m.Name)
+		c.emit(EfCheckin{Req: h.req, Status: 503})
 	}
 	c.dirty = true
 	c.drivePlace()
 	c.drivePlan()
 	h := &heldCheckin{m.Name, e.Req, r.Tally, r.Shift, c.now + tuning.CheckinHold}
 	if c.worthHolding(m) {
-		c.held[e.Req] = h
+		c.held[m.Name] = h
 		return
 	}
 	c.answer(h)
@@ -259,7 +256,9 @@
 
 // answer says 200 with the orders that follow from committed state alone.
 func (c *Core) answer(h *heldCheckin) {
-	delete(c.held, h.req)
+	if c.held[h.machine] == h {
+		delete(c.held, h.machine)
+	}
 	m := c.mach[h.machine]
 	if m == nil || !c.fenceOK() || !c.owns(h.machine) || h.shift <= m.deadShift || h.shift != m.shift ||
 		c.st.marks[h.machine].State == MarkGone {
@@ -410,12 +409,30 @@
 }
 
 // driveHeld answers held check-ins once there is nothing more to wait for.
+// Hundreds are held at a time, and events come for each: only those that the
+// event touched are looked at again, and all of them ten times a second.
 func (c *Core) driveHeld() {
 	if len(c.held) == 0 {
+		clear(c.touched)
 		return
 	}
-	for _, h := range sortedHeld(c.held) {
-		if m := c.mach[h.machine]; m == nil || c.now >= h.till || !c.worthHolding(m) {
+	var names []string
+	if c.now >= c.heldAt {
+		c.heldAt = c.now + min(tuning.Tick, c.pace())
+		names = slices.Sorted(maps.Keys(c.held))
+	} else {
+		if len(c.touched) == 0 {
+			return
+		}
+		names = slices.Sorted(maps.Keys(c.touched))
+	}
+	clear(c.touched)
+	for _, n := range names {
+		h := c.held[n]
+		if h == nil {
+			continue
+		}
+		if m := c.mach[n]; m == nil || c.now >= h.till || !c.worthHolding(m) {
 			c.answer(h)
 		}
 	}
@@ -427,12 +444,11 @@
 	if !c.fenceOK() || c.now < c.machAt {
 		return
 	}
-	c.machAt = c.now + min(tuning.Tick, c.pace())
-	for _, n := range slices.Sorted(maps.Keys(c.st.byMach)) {
+	c.machAt = c.now + c.pace()
+	for n := range c.st.byMach {
 		if c.mach[n] == nil && c.owns(n) {
-			m := newMachine(n)
+			m := c.addMachine(n)
 			m.ownEpoch, m.ownSince, m.heard = c.st.view.Epoch, c.now, c.now+tuning.TakeoverSilence
-			c.mach[n] = m
 		}
 	}
 	var silent []*Machine
@@ -445,14 +461,14 @@
 		m := c.mach[n]
 		if !c.owns(n) {
 			if c.now-m.heard > time.Minute {
-				delete(c.mach, n)
+				c.dropMachine(n)
 			}
 			continue
 		}
 		mark := c.st.marks[n]
 		if mark.State == MarkGone {
 			if len(c.st.byMach[n]) == 0 && c.now-m.heard > time.Minute {
-				delete(c.mach, n)
+				c.dropMachine(n)
 			}
 			continue
 		}
@@ -534,12 +550,6 @@
 	}
 }
 
-func sortedHeld(h map[uint64]*heldCheckin) []*heldCheckin {
-	l := slices.Collect(maps.Values(h))
-	sort.Slice(l, func(a, b int) bool { return l[a].req < l[b].req })
-	return l
-}
-
 // mark wants a machine's mark written; driveMarks does it, many at a time.
 func (c *Core) mark(name string, m MachineMark) {
 	now := c.st.marks[name]
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -68,7 +69,26 @@
 	return p != nil && c.now-p.at < 3*tuning.DrawEvery && p.evict[name]
 }
 
-func (c *Core) machNames() []string { return slices.Sorted(maps.Keys(c.mach)) }
+// machNames are the machines that this node knows, in order. They change far
+// less often than they are walked.
+func (c *Core) machNames() []string {
+	if c.names == nil {
+		c.names = slices.Sorted(maps.Keys(c.mach))
+	}
+	return c.names
+}
+
+// addMachine and dropMachine are the only changes of the set of machines.
+func (c *Core) addMachine(name string) *Machine {
+	m := newMachine(name)
+	c.mach[name], c.names = m, nil
+	return m
+}
+
+func (c *Core) dropMachine(name string) {
+	delete(c.mach, name)
+	c.names = nil
+}
 
 // unplace takes a task off the queue it is in, if any.
 func (c *Core) unplace(id TaskID) {
@@ -1096,7 +1116,7 @@
 			l = append(l, inv{m.Name, m.Addr, m.Type, m.Zone, n, m.Spot, m.Shift, nil, m.Images})
 		}
 	}
-	sort.Slice(l, func(a, b int) bool { return l[a].name < l[b].name })
+	slices.SortFunc(l, func(a, b inv) int { return cmp.Compare(a.name, b.name) })
 	c.inv, c.invAt, c.invEpoch = l, c.now, c.st.view.Epoch
 	// Slots by kind of machine, for estimates.
 	c.kinds = map[option]int64{}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -364,6 +364,9 @@
 	c.task = c.commit(LaneTask, t, func(r CommitResult, e EvCommit) {
 		c.task = nil
 		c.dirty = true
+		for n := range d.machs {
+			c.touched[n] = true
+		}
 		switch r {
 		case Committed:
 			for _, f := range d.notes {
@@ -458,17 +461,14 @@
 
 // planReleases commits outcomes and releases of this node's machines.
 func (c *Core) planReleases(d *draft) {
-	names := slices.Sorted(maps.Keys(c.st.byMach))
+	names := c.machNames()
 	// Begin where the last full draft stopped, so that none is always left out.
 	k, _ := slices.BinarySearch(names, c.relFrom)
 	names = append(slices.Clone(names[k:]), names[:k]...)
 	full := false
 	for _, name := range names {
-		if !c.owns(name) {
-			continue
-		}
 		m := c.mach[name]
-		if m == nil {
+		if len(c.st.byMach[name]) == 0 || !c.owns(name) {
 			continue
 		}
 		mark := c.st.marks[name]
@@ -542,9 +542,9 @@
 // about to be taken away: the header carries it to all owners, which halt
 // their tasks well within gang_peer_s of each other.
 func (c *Core) planHalts(d *draft) {
-	for _, name := range slices.Sorted(maps.Keys(c.st.byMach)) {
+	for _, name := range c.machNames() {
 		m := c.mach[name]
-		if m == nil {
+		if len(c.st.byMach[name]) == 0 {
 			continue
 		}
 		mark := c.st.marks[name]
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -135,6 +135,7 @@
 	count(old.State, -1)
 	count(t.State, 1)
 	if old.State == Booked {
+		c.touched[old.Machine] = true
 		c.occupy(j, id, old, -1)
 		delete(c.st.byMach[old.Machine], id)
 		delete(c.booked, id)
@@ -144,6 +145,7 @@
 		}
 	}
 	if t.State == Booked {
+		c.touched[t.Machine] = true
 		m := c.st.byMach[t.Machine]
 		if m == nil {
 			m = map[TaskID]bool{}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -180,8 +180,7 @@
 func (c *Core) takeOver(name string) {
 	m := c.mach[name]
 	if m == nil {
-		m = newMachine(name)
-		c.mach[name] = m
+		m = c.addMachine(name)
 	}
 	m.ownEpoch, m.ownSince, m.last200 = c.st.view.Epoch, c.now, -1
 	m.heard = c.now + tuning.TakeoverSilence
