--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,7 +25,7 @@
 	str := func(l []string) []flatbuffers.UOffsetT {
 		o := make([]flatbuffers.UOffsetT, len(l))
 		for i, s := range l {
-			o[i] = b.CreateString(s)
+			o[i] = b.CreateSharedString(s) // the same images are on most machines
 		}
 		return o
 	}
@@ -39,7 +39,7 @@
 	ms := make([]flatbuffers.UOffsetT, len(m.Machines))
 	for i, x := range m.Machines {
 		name, addr := b.CreateString(x.Name), b.CreateString(x.Addr)
-		typ, zone := b.CreateString(x.Type), b.CreateString(x.Zone)
+		typ, zone := b.CreateSharedString(x.Type), b.CreateSharedString(x.Zone)
 		images := vector(str(x.Images))
 		fb.MachineStart(b)
 		fb.MachineAddName(b, name)
@@ -94,16 +94,30 @@
 		return "", m, errors.New("short peer message")
 	}
 	r := fb.GetRootAsMessage(p, 0)
+	// Types, zones and images repeat for each of hundreds of machines.
+	same := map[string]string{}
+	str := func(b []byte) string {
+		s, ok := same[string(b)]
+		if !ok {
+			s = string(b)
+			same[s] = s
+		}
+		return s
+	}
+	m.Machines = make([]core.PeerMachine, 0, min(r.MachinesLength(), len(p)/4))
 	from, m.Epoch, m.Load, m.Usable = string(r.From()), r.Epoch(), r.Load(), r.Usable()
 	for i := 0; i < r.MachinesLength(); i++ {
 		var x fb.Machine
 		r.Machines(&x, i)
 		pm := core.PeerMachine{
-			Name: string(x.Name()), Addr: string(x.Addr()), Type: string(x.Type()), Zone: string(x.Zone()),
+			Name: string(x.Name()), Addr: string(x.Addr()), Type: str(x.Type()), Zone: str(x.Zone()),
 			Spot: x.Spot(), Recall: x.Recall(), Shift: x.Shift(), Load: x.Load(),
 		}
+		if n := x.ImagesLength(); n > 0 && n <= len(p)/4 {
+			pm.Images = make([]string, 0, n)
+		}
 		for k := 0; k < x.ImagesLength(); k++ {
-			pm.Images = append(pm.Images, string(x.Images(k)))
+			pm.Images = append(pm.Images, str(x.Images(k)))
 		}
 		m.Machines = append(m.Machines, pm)
 	}
--- /dev/null
+++ b/internal/peer/size_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"brassglade/internal/core"
+)
+
+// word is what a node that owns n machines tells the others.
+func word(n int) core.PeerMsg {
+	m := core.PeerMsg{Epoch: 7, Load: 30, Usable: true}
+	for i := 0; i < n; i++ {
+		x := core.PeerMachine{Name: fmt.Sprintf("n-%06d", i), Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), Type: "zasuwa", Zone: "wola-hall", Shift: 1, Load: 40}
+		for k := 0; k < 6; k++ {
+			x.Images = append(x.Images, fmt.Sprintf("drawscan-img-%02d", k))
+		}
+		m.Machines = append(m.Machines, x)
+	}
+	return m
+}
+
+func BenchmarkEncode(b *testing.B) {
+	m := word(190)
+	for i := 0; i < b.N; i++ {
+		b.SetBytes(int64(len(Encode("bracket-1", m))))
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	p := Encode("bracket-1", word(190))
+	b.SetBytes(int64(len(p)))
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		if _, _, err := Decode(p); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
