A cut zone's machines are kept; zones apart by one change of the view

When zones could not reach each other, the views added overrides one after the other (13 in 4 s, 20 in 7 s when nodes came back), each failing all commits; three nodes were taken off serving though their own zone reached them; 31 machines were marked deaf for reports that the cut had held back.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -174,8 +174,10 @@
 		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: tuning.Spare, Learn: true,
 		ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.WriteShare(),
 	}
+	c.ZoneOf = map[string]string{s.Member: s.Domain}
 	for _, m := range s.Members {
 		c.Nodes = append(c.Nodes, m.Member)
+		c.ZoneOf[m.Member] = m.Domain
 	}
 	slices.Sort(c.Nodes)
 	for _, t := range p.Teams {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,8 @@
 	planAt   time.Duration // no task commit before
 	machAt   time.Duration // no walk over all machines before
 	viewAt   time.Duration
+	viewSeen time.Duration // when the view was taken from the watch
+	metAt    time.Duration // since when all serving peers are heard; < 0: they aren't
 	inv      []inv
 	invAt    time.Duration // < 0: none
 	invEpoch uint64
@@ -147,7 +149,7 @@
 func New(cfg Settings, inc string) *Core {
 	c := &Core{
 		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Node))),
-		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1, invAt: -1, meanAt: -1, waitAt: -1,
+		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1, invAt: -1, meanAt: -1, waitAt: -1, metAt: -1,
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -246,6 +246,15 @@
 func (c *Core) decideMarks(ms []known, pend []need) {
 	f := &c.fleet
 	fresh, leaving := c.peersFresh(), c.leaving()
+	// A zone of which most machines are unheard is cut off for now.
+	up, down := map[string]int{}, map[string]int{}
+	for _, k := range ms {
+		if k.up {
+			up[k.Zone]++
+		} else if k.Status == "running" {
+			down[k.Zone]++
+		}
+	}
 	for _, k := range ms {
 		fl := c.flavor(k.Type)
 		age := c.now - f.bornAt[k.Name]
@@ -269,7 +278,8 @@
 			c.mark(k.Name, MachineMark{MarkDrain, WhyFailed})
 		case k.Status == "booting" && !k.up && age > time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
-		case unheard && c.now-f.unheard[k.Name] > tuning.UnheardPatience:
+		case unheard && c.now-f.unheard[k.Name] > tuning.UnheardPatience &&
+			(down[k.Zone] <= up[k.Zone] || down[k.Zone] <= tuning.SilentFew || c.now-f.unheard[k.Name] > tuning.UnheardCut):
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
 		case k.up && k.busy == 0 && age > tuning.MinHeld:
 			keep := tuning.IdleKeep
--- a/internal/core/learn_test.go
+++ b/internal/core/learn_test.go
@@ -124,13 +124,13 @@
 // TestRendezvous: only the machines of a node that leaves change owner.
 func TestRendezvous(t *testing.T) {
 	three, two := &View{Serving: []string{"a", "b", "c"}}, &View{Serving: []string{"a", "c"}}
-	n := map[string]int{}
+	n, c := map[string]int{}, &Core{}
 	for i := 0; i < 300; i++ {
 		m := "n-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
-		o := three.owner(m)
+		o := c.owner(three, m, "")
 		n[o]++
-		if o != "b" && two.owner(m) != o {
-			t.Fatalf("%s moved from %s to %s", m, o, two.owner(m))
+		if o != "b" && c.owner(two, m, "") != o {
+			t.Fatalf("%s moved from %s to %s", m, o, c.owner(two, m, ""))
 		}
 	}
 	for _, o := range three.Serving {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -20,6 +20,7 @@
 	baton     uint64
 	tasks     map[TaskID]Seen
 	heard     time.Duration // when last heard (or the end of a grace period)
+	spoke     time.Duration // when a report last came here as the owner; < 0: not yet
 	recallAt  time.Duration // when the cloud takes it; < 0: no notice
 	deadShift uint64        // sessions up to it are given up: never answered again
 	fresh     bool          // the newest report came by check-in
@@ -56,7 +57,7 @@
 
 func newMachine(name string) *Machine {
 	return &Machine{
-		Name: name, tasks: map[TaskID]Seen{}, recallAt: -1, last200: -1,
+		Name: name, tasks: map[TaskID]Seen{}, recallAt: -1, last200: -1, spoke: -1,
 		sent: map[doom]uint64{}, errJobs: map[string]bool{}, images: map[string]time.Duration{},
 		firstRun: map[doom]time.Duration{},
 	}
@@ -81,10 +82,10 @@
 		c.emit(EfCheckin{Req: e.Req, Status: 503})
 		return
 	}
-	owner := c.ownerOf(r.Machine)
+	owner := c.ownerIn(r.Machine, r.Zone)
 	if owner != c.cfg.Node {
 		if c.st.marks[r.Machine].State != MarkGone {
-			c.noteBounce(r.Machine, owner, r.Shift, r.Tally, r.Baton)
+			c.noteBounce(r.Machine, r.Zone, owner, r.Shift, r.Tally, r.Baton)
 		}
 		c.emit(EfCheckin{Req: e.Req, Status: 421, Owner: owner})
 		return
@@ -125,7 +126,9 @@
 // heed notices a machine whose reports arrive while answers don't reach it: a
 // report newer than an answer must show the answer's token and tasks.
 func (c *Core) heed(m *Machine, r *Report) {
-	if !m.heardOnce || r.Shift != m.shift || m.last200 < 0 {
+	// Reports that a cut held back come all at once; none of them can show an
+	// answer given a moment ago.
+	if !m.heardOnce || r.Shift != m.shift || m.last200 < 0 || c.now-m.last200 < tuning.HeedAfter {
 		return
 	}
 	missed := r.Baton < m.sentBaton
@@ -204,7 +207,7 @@
 		c.log(1, "machine lost its lease", "machine", m.Name, "shift", r.Shift)
 		clear(m.images)
 	}
-	m.heardOnce, m.shift, m.tally, m.baton, m.heard, m.fresh = true, r.Shift, r.Tally, r.Baton, c.now, checkin
+	m.heardOnce, m.shift, m.tally, m.baton, m.heard, m.spoke, m.fresh = true, r.Shift, r.Tally, r.Baton, c.now, c.now, checkin
 	if r.Recall >= 0 {
 		if m.recallAt < 0 {
 			c.log(1, "machine recalled", "machine", m.Name, "in_s", r.Recall)
@@ -451,8 +454,8 @@
 			m.ownEpoch, m.ownSince, m.heard = c.st.view.Epoch, c.now, c.now+tuning.TakeoverSilence
 		}
 	}
-	var silent []*Machine
-	heard := 0
+	silent, near := map[string][]*Machine{}, map[string]int{} // by zone
+	heard, quiet := 0, 0
 	limit := tuning.Silent
 	if !c.peersFresh() {
 		limit = tuning.SilentCut
@@ -483,20 +486,28 @@
 				c.dirty = true
 			}
 		}
-		if c.now-m.heard > limit {
+		zone := c.zoneOf(n)
+		switch {
+		case c.now-m.heard > limit:
 			if mark.State == "" {
-				silent = append(silent, m)
+				silent[zone] = append(silent[zone], m)
+				quiet++
 			}
-		} else {
+		case m.spoke >= 0 && c.now-m.spoke <= limit: // not just taken over and yet to come
 			heard++
+			near[zone]++
 			c.directHalts(m)
 		}
 	}
-	// Machines that fall silent together are rather cut off from here.
-	sort.Slice(silent, func(a, b int) bool { return silent[a].Name < silent[b].Name })
-	if len(silent) > 0 && (len(silent) <= heard || len(silent) == 1 && heard == 0) {
-		for _, m := range silent {
-			c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
+	// Machines that fall silent together are rather cut off from here: all of
+	// them, or those of one zone. Returning those would cost hundreds of machines
+	// with their images, which the cut gives back.
+	for _, z := range slices.Sorted(maps.Keys(silent)) {
+		l := silent[z]
+		if len(l) <= near[z] || len(l) <= tuning.SilentFew && quiet <= heard || quiet == 1 && heard == 0 {
+			for _, m := range l {
+				c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
+			}
 		}
 	}
 	// If answers to many have no effect, it is this node that is slow or cut off.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1110,7 +1110,7 @@
 		}
 		for i := range p.machines {
 			m := &p.machines[i]
-			if m.Recall || c.st.marks[m.Name].State != "" || c.ownerOf(m.Name) != n {
+			if m.Recall || c.st.marks[m.Name].State != "" || c.ownerIn(m.Name, m.Zone) != n {
 				continue
 			}
 			l = append(l, inv{m.Name, m.Addr, m.Type, m.Zone, n, m.Spot, m.Shift, nil, m.Images})
--- a/internal/core/size_test.go
+++ b/internal/core/size_test.go
@@ -42,7 +42,7 @@
 	for i := 0; i < 1500; i++ {
 		n := fmt.Sprintf("n-%06d", 5000+i)
 		if c.ownerOf(n) == "c-1" {
-			c.bounces[n] = []bounce{{c.now - 8*time.Second, "c-1/y", 2}}
+			c.bounces[n] = []bounce{{c.now - 8*time.Second, "c-1/y", 2, "a"}, {c.now - 2*time.Second, "c-1/y", 1, "a"}}
 		}
 	}
 	c.peers["c-1"] = &peerView{at: c.now, machines: make([]PeerMachine, 1500)}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -121,6 +121,7 @@
 	Members map[string]string `json:"m"` // node -> incarnation
 	Serving []string          `json:"s"` // sorted
 	Over    map[string]string `json:"o,omitempty"`
+	Zoned   bool              `json:"z,omitempty"` // zones are apart: machines belong to the serving nodes of their own
 }
 
 // MachineMark of a machine; none means in use.
@@ -186,6 +187,7 @@
 	Nodes     []string // all, sorted
 	Teams     map[string]Limits
 	Zones     []string
+	ZoneOf    map[string]string // node -> zone
 	Report    time.Duration
 	Lease     time.Duration
 	Cancel    time.Duration
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -23,6 +23,7 @@
 	at     time.Duration
 	owner  string
 	weight int
+	zone   string // the machine's
 }
 
 func enc(v any) []byte {
@@ -59,19 +60,48 @@
 	return best
 }
 
-// owner of a machine under a view: its override, or the rendezvous hash.
-func (v *View) owner(machine string) string {
+// owner of a machine under a view: its override, or the rendezvous hash. While
+// zones are apart it is the hash over the nodes of the machine's own zone, if any
+// serve there. A machine never changes its zone, so whoever knows the zone finds
+// the same owner; whoever doesn't finds none.
+func (c *Core) owner(v *View, machine, zone string) string {
 	if v == nil {
 		return ""
 	}
 	if o := v.Over[machine]; o != "" && slices.Contains(v.Serving, o) {
 		return o
 	}
-	return rendezvous(machine, v.Serving)
+	if !v.Zoned {
+		return rendezvous(machine, v.Serving)
+	}
+	if zone == "" {
+		return ""
+	}
+	var near []string
+	for _, n := range v.Serving {
+		if c.cfg.ZoneOf[n] == zone {
+			near = append(near, n)
+		}
+	}
+	if len(near) == 0 {
+		near = v.Serving
+	}
+	return rendezvous(machine, near)
+}
+
+// zoneOf a machine, as its reports or its bookings name it; "" if neither does.
+func (c *Core) zoneOf(machine string) string {
+	if m := c.mach[machine]; m != nil && m.Zone != "" {
+		return m.Zone
+	}
+	return c.st.occ[machine].zone
 }
 
 // ownerOf a machine under the current view.
-func (c *Core) ownerOf(machine string) string {
+func (c *Core) ownerOf(machine string) string { return c.ownerIn(machine, "") }
+
+// ownerIn is the same where the zone is at hand.
+func (c *Core) ownerIn(machine, zone string) string {
 	v := c.st.view
 	if v == nil {
 		return ""
@@ -81,8 +111,12 @@
 	}
 	o, ok := c.owners[machine]
 	if !ok {
-		o = v.owner(machine)
-		c.owners[machine] = o
+		if v.Zoned && zone == "" {
+			zone = c.zoneOf(machine)
+		}
+		if o = c.owner(v, machine, zone); o != "" {
+			c.owners[machine] = o
+		}
 	}
 	return o
 }
@@ -114,7 +148,7 @@
 // node owns each machine.
 func (c *Core) adoptView(v *View) {
 	old := c.st.view
-	c.st.view = v
+	c.st.view, c.viewSeen = v, c.now
 	// The confirmations so far were about the old view; the watch that brought
 	// this one shows that it held at some time after the watch was sent.
 	c.fenceAt = c.watchSent
@@ -130,9 +164,14 @@
 	for n := range names {
 		if !c.owns(n) {
 			c.unplaceMachine(n)
+			// Known by its bookings alone: should its zone show again later in a
+			// zoned view, ownership must begin then, not when it once began.
+			if m := c.mach[n]; m != nil && m.Zone == "" {
+				c.dropMachine(n)
+			}
 			continue
 		}
-		if cont && old.owner(n) == c.cfg.Node {
+		if cont && c.owner(old, n, c.zoneOf(n)) == c.cfg.Node {
 			continue
 		}
 		c.takeOver(n)
@@ -173,7 +212,11 @@
 	if old == nil || old.Leader != v.Leader {
 		c.fleet.reset(c.now)
 	}
-	c.log(1, "view", "epoch", v.Epoch, "leader", v.Leader, "serving", v.Serving, "overrides", len(v.Over))
+	args := []any{"epoch", v.Epoch, "leader", v.Leader, "serving", v.Serving, "overrides", len(v.Over)}
+	if v.Zoned {
+		args = append(args, "zoned", true)
+	}
+	c.log(1, "view", args...)
 }
 
 // takeOver starts this node's ownership of a machine.
@@ -184,7 +227,7 @@
 	}
 	m.ownEpoch, m.ownSince, m.last200 = c.st.view.Epoch, c.now, -1
 	m.heard = c.now + tuning.TakeoverSilence
-	m.unheeded, m.sentBaton = 0, 0
+	m.unheeded, m.sentBaton, m.spoke = 0, 0, -1
 	m.deadShift = 0 // another owner may have known better meanwhile
 	clear(m.sent)
 }
@@ -244,7 +287,7 @@
 		delete(c.offSince, n)
 		next.Serving = append(next.Serving, n)
 	}
-	bad, over := c.unreachable()
+	bad, over, apart := c.unreachable()
 	for n := range bad {
 		if len(next.Serving) > 1 && slices.Contains(next.Serving, n) {
 			next.Serving = slices.DeleteFunc(next.Serving, func(s string) bool { return s == n })
@@ -257,7 +300,26 @@
 	if len(next.Serving) == 0 {
 		next.Serving = names
 	}
+	// Overrides have room for some of the machines that zones apart from each
+	// other part from their owners, and each would be a change of the view.
+	next.Zoned = v.Zoned && !c.together()
+	if len(apart) >= tuning.ApartMachines {
+		next.Zoned = true
+	}
+	changed = changed || next.Zoned != v.Zoned
+	overOnly := !changed
+	if next.Zoned {
+		clear(over)
+	}
+	for _, m := range apart {
+		if !next.Zoned {
+			over[m] = true
+		}
+	}
 	for m, o := range v.Over {
+		if next.Zoned {
+			break
+		}
 		if c.wide() && c.now-c.overAt[m] > tuning.OverKeep {
 			continue // its worker comes back if the reason is still there
 		}
@@ -278,6 +340,9 @@
 			delete(c.bounces, m)
 		}
 	}
+	if next.Zoned && !v.Zoned {
+		clear(c.bounces)
+	}
 	next.Leader = v.Leader
 	if v.Members[v.Leader] != next.Members[v.Leader] || next.Members[v.Leader] == "" || !slices.Contains(next.Serving, v.Leader) {
 		next.Leader = next.Serving[0]
@@ -288,16 +353,30 @@
 			}
 		}
 	}
-	if !changed {
+	if !changed || overOnly && c.wide() && c.now-c.viewSeen < tuning.OverPause {
 		return nil
 	}
 	return next
 }
 
+// together tells whether the zones are no longer apart: all serving nodes have
+// been heard for a while. Only the leader's word counts, so that a node cut off
+// from its peers alone doesn't decide.
+func (c *Core) together() bool {
+	if !c.peersFresh() {
+		c.metAt = -1
+		return false
+	}
+	if c.metAt < 0 {
+		c.metAt = c.now
+	}
+	return c.isLeader() && c.now-c.metAt > tuning.ZonedKeep && c.now-c.viewSeen > tuning.ZonedKeep
+}
+
 // noteBounce remembers that a worker was sent on to its owner.
 // One that had an answer in this epoch has lost its owner for certain; another
 // may only just be looking for it.
-func (c *Core) noteBounce(machine, owner string, shift, tally, baton uint64) {
+func (c *Core) noteBounce(machine, zone, owner string, shift, tally, baton uint64) {
 	// A late copy of a report says nothing about the machine now, and a machine
 	// that answers don't reach comes round to all nodes: neither may move it
 	// again and again.
@@ -320,30 +399,35 @@
 			keep = append(keep, b)
 		}
 	}
-	c.bounces[machine] = append(keep, bounce{c.now, owner, weight})
+	c.bounces[machine] = append(keep, bounce{c.now, owner, weight, zone})
 }
 
-// unreachable returns the owners that several workers can't reach, and single
-// machines that this node should rather own.
-func (c *Core) unreachable() (nodes map[string]bool, machines map[string]bool) {
+// unreachable returns the owners that several workers can't reach, single
+// machines that this node should rather own, and machines of this zone that
+// reach none of another's owners.
+func (c *Core) unreachable() (nodes, machines map[string]bool, apart []string) {
 	count := map[string][]string{}
 	wide := c.wide()
+	zones := map[string]string{}
 	for m, bs := range c.bounces {
 		n := 0
-		first := c.now
-		owner := c.ownerOf(m)
+		first, last := c.now, time.Duration(0)
+		owner := c.ownerIn(m, bs[len(bs)-1].zone)
 		inc := owner + "/" + c.st.view.Members[owner]
 		for _, b := range bs {
 			if c.now-b.at < tuning.BounceWindow && b.owner == inc {
 				n += b.weight
-				first = min(first, b.at)
+				first, last = min(first, b.at), max(last, b.at)
+				zones[m] = b.zone
 			}
 		}
 		// In a wide fleet the workers of a node that ended come round before its
 		// grant runs out, a whole part of them: the view without that node is
 		// on its way, and moving them one by one would change the view again
-		// and again, and leave their tasks in other parts' packs.
-		if n >= tuning.BounceCount && (!wide || c.now-first >= tuning.BounceSettle) {
+		// and again, and leave their tasks in other parts' packs. Nodes also see a
+		// new view one after the other, and send a worker to and fro meanwhile:
+		// only one that came back after trying its owner in vain has lost it.
+		if n >= tuning.BounceCount && (!wide || c.now-first >= tuning.BounceSettle && last-first >= tuning.BounceBack) {
 			count[owner] = append(count[owner], m)
 		}
 		if n == 0 {
@@ -353,7 +437,7 @@
 	nodes, machines = map[string]bool{}, map[string]bool{}
 	owners := slices.Sorted(maps.Keys(count))
 	for _, o := range owners {
-		if o == c.cfg.Node {
+		if o == c.cfg.Node || o == "" {
 			continue
 		}
 		sort.Strings(count[o])
@@ -361,13 +445,22 @@
 		if p := c.peers[o]; p != nil {
 			owned = len(p.machines)
 		}
-		if n := len(count[o]); n >= tuning.UnreachableMachines && 100*n > tuning.UnreachablePercent*owned {
+		// Workers of its own zone may well reach it, if all these are of another.
+		across := wide && c.cfg.ZoneOf[o] != c.cfg.ZoneOf[c.cfg.Node]
+		for _, m := range count[o] {
+			across = across && zones[m] == c.cfg.ZoneOf[c.cfg.Node]
+		}
+		if n := len(count[o]); !across && n >= tuning.UnreachableMachines && 100*n > tuning.UnreachablePercent*owned {
 			nodes[o] = true
 			continue
 		}
+		if p := c.peers[o]; across && (p == nil || c.now-p.at > tuning.PeerFresh) {
+			apart = append(apart, count[o]...)
+			continue
+		}
 		for _, m := range count[o] {
 			machines[m] = true
 		}
 	}
-	return nodes, machines
+	return nodes, machines, apart
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -52,6 +52,17 @@
 	// BounceSettle is how long workers of one owner must come round before wide
 	// fleets move them: longer than the owner's grant, whose end moves all.
 	BounceSettle = GrantLife + 1500*time.Millisecond
+	// BounceBack is the least time between two visits of a worker that tried its
+	// owner in between: it waits 4 s for an answer, or 1 s after a refusal.
+	BounceBack = 900 * time.Millisecond
+	// OverPause is the least time between changes of overrides alone in wide
+	// fleets: each change of the view fails all commits under way.
+	OverPause = 3 * time.Second
+	// ApartMachines of one zone that can't reach another zone's owners mean that
+	// the zones are apart. ZonedKeep is how long all must have been heard again,
+	// and the zoned view have stood, before it ends.
+	ApartMachines = 12
+	ZonedKeep     = 12 * time.Second
 	// OverKeep is how long an override is kept when the view changes anyway.
 	OverKeep = 60 * time.Second
 	// PeerFresh is the age up to which a peer's word shows that no cut lies
@@ -147,12 +158,18 @@
 	MarkDebt  = 4.0
 	// MarkIdleEvery is the same when only idle machines are to be marked.
 	MarkIdleEvery = 6 * time.Second
+	// HeedAfter is the least time after an answer at which a report may show it:
+	// workers report half a second apart at the least.
+	HeedAfter = 400 * time.Millisecond
 	// UnheededMost reports in a row that show no effect of the answers before
 	// them mean a machine that can't be reached.
 	UnheededMost = 2
 	// Silent is the silence after which a machine counts as lost, if most
 	// others of its owner still report.
 	Silent = 13 * time.Second
+	// SilentFew machines of a zone may be marked lost though none of the zone is
+	// heard, if most others are.
+	SilentFew = 2
 	// SilentCut is the same while a peer is silent too: a cut may lie between,
 	// and machines beyond it find other owners meanwhile.
 	SilentCut = 27 * time.Second
@@ -298,6 +315,8 @@
 	// UnheardPatience is how long a running machine may go unheard by all
 	// nodes, with all nodes heard from, before it is returned.
 	UnheardPatience = 45 * time.Second
+	// UnheardCut is the same where most of a zone's machines are unheard.
+	UnheardCut = 4 * UnheardPatience
 	// IdleKeep is how long an idle machine is kept.
 	IdleKeep = 20 * time.Second
 	// IdleKeepSpot is the same for spot machines, whose price is a fraction.
