--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -47,8 +47,8 @@
 				p.at = c.now
 			}
 		}
-		for n, m := range c.mach {
-			if heard(n) && c.owns(n) {
+		for n, m := range c.mach { // each every 5 s, at a time of its own
+			if at := time.Duration(hash64(n)%10) * 500 * time.Millisecond; heard(n) && c.owns(n) && c.now%(5*time.Second) == at {
 				m.heard, m.spoke = c.now, c.now
 			}
 		}
@@ -74,6 +74,10 @@
 		}
 	}
 	c.pass(90*time.Second, func(n string) bool { return !inB(n) })
+	for i := 0; i < 16; i++ { // back one after the other
+		c.pass(500*time.Millisecond, func(n string) bool { return !inB(n) || hash64(n, "back")%16 < uint64(i) })
+	}
+	c.pass(30*time.Second, func(string) bool { return true })
 	if len(c.wantMark) > 0 {
 		t.Errorf("%d machines of a cut zone were given up", len(c.wantMark))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,8 +96,9 @@
 	planAt   time.Duration // no task commit before
 	machAt   time.Duration // no walk over all machines before
 	viewAt   time.Duration
-	viewSeen time.Duration // when the view was taken from the watch
-	metAt    time.Duration // since when all serving peers are heard; < 0: they aren't
+	viewSeen time.Duration            // when the view was taken from the watch
+	zoneOut  map[string]time.Duration // when most of a zone's machines were last silent
+	metAt    time.Duration            // since when all serving peers are heard; < 0: they aren't
 	inv      []inv
 	invAt    time.Duration // < 0: none
 	invEpoch uint64
@@ -159,6 +160,7 @@
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
+	c.zoneOut = map[string]time.Duration{}
 	c.tokens = cfg.WriteRate
 	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
 	c.fleet.init()
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -47,6 +47,7 @@
 	flavBusy  bool
 	tellAt    time.Duration
 	unheard   map[string]time.Duration
+	zoneDown  map[string]time.Duration // since when most of a zone's machines are unheard
 	wholeSeen map[string]wholeSeen
 	wholeRate map[string]float64 // tasks a second that came lately, by class
 }
@@ -67,7 +68,7 @@
 	n := f.hireN
 	*f = fleet{
 		list: map[string]Inst{}, born: map[string]Inst{}, bornAt: map[string]time.Duration{}, hireN: n,
-		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, unheard: map[string]time.Duration{}, ranWhole: map[string]time.Duration{}, rest: map[string]bool{},
+		renting: map[string]rent{}, pauses: map[option]pause{}, hold: map[string]bool{}, evict: map[string]bool{}, unheard: map[string]time.Duration{}, zoneDown: map[string]time.Duration{}, ranWhole: map[string]time.Duration{}, rest: map[string]bool{},
 		idle: map[string]time.Duration{}, wholeSeen: map[string]wholeSeen{},
 	}
 }
@@ -246,8 +247,9 @@
 func (c *Core) decideMarks(ms []known, pend []need) {
 	f := &c.fleet
 	fresh, leaving := c.peersFresh(), c.leaving()
-	// A zone of which most machines are unheard is cut off for now.
-	up, down := map[string]int{}, map[string]int{}
+	// A zone of which most machines are unheard is cut off for now, and its
+	// machines get their time anew when they can be heard again.
+	up, down, cut := map[string]int{}, map[string]int{}, map[string]bool{}
 	for _, k := range ms {
 		if k.up {
 			up[k.Zone]++
@@ -255,6 +257,15 @@
 			down[k.Zone]++
 		}
 	}
+	for _, z := range c.cfg.Zones {
+		if down[z] <= up[z] || down[z] <= tuning.SilentFew {
+			delete(f.zoneDown, z)
+		} else if since, ok := f.zoneDown[z]; !ok {
+			f.zoneDown[z], cut[z] = c.now, true
+		} else {
+			cut[z] = c.now-since < tuning.UnheardCut
+		}
+	}
 	for _, k := range ms {
 		fl := c.flavor(k.Type)
 		age := c.now - f.bornAt[k.Name]
@@ -267,7 +278,7 @@
 			f.idle[k.Name] = c.now
 		}
 		// A running machine that nobody hears, though every node is heard.
-		unheard := fresh && k.Status == "running" && !k.up && k.busy == 0 && !leaving[k.Name]
+		unheard := fresh && k.Status == "running" && !k.up && k.busy == 0 && !leaving[k.Name] && !cut[k.Zone]
 		if !unheard {
 			delete(f.unheard, k.Name)
 		} else if _, ok := f.unheard[k.Name]; !ok {
@@ -278,8 +289,7 @@
 			c.mark(k.Name, MachineMark{MarkDrain, WhyFailed})
 		case k.Status == "booting" && !k.up && age > time.Duration(tuning.BootPatience*fl.BootS*float64(time.Second)):
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
-		case unheard && c.now-f.unheard[k.Name] > tuning.UnheardPatience &&
-			(down[k.Zone] <= up[k.Zone] || down[k.Zone] <= tuning.SilentFew || c.now-f.unheard[k.Name] > tuning.UnheardCut):
+		case unheard && c.now-f.unheard[k.Name] > tuning.UnheardPatience:
 			c.mark(k.Name, MachineMark{MarkDrain, WhyStuck})
 		case k.up && k.busy == 0 && age > tuning.MinHeld:
 			keep := tuning.IdleKeep
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -495,19 +495,29 @@
 			}
 		case m.spoke >= 0 && c.now-m.spoke <= limit: // not just taken over and yet to come
 			heard++
-			near[zone]++
+			if c.now-m.spoke <= c.cfg.Report+c.cfg.Report/4 {
+				near[zone]++
+			}
 			c.directHalts(m)
 		}
 	}
 	// Machines that fall silent together are rather cut off from here: all of
 	// them, or those of one zone. Returning those would cost hundreds of machines
-	// with their images, which the cut gives back.
+	// with their images, which the cut gives back. The first of them are silent
+	// for long when the last were heard just before the cut, so these are compared
+	// with those whose reports are not even late; and when the cut is over, they
+	// come back one after the other.
 	for _, z := range slices.Sorted(maps.Keys(silent)) {
 		l := silent[z]
-		if len(l) <= near[z] || len(l) <= tuning.SilentFew && quiet <= heard || quiet == 1 && heard == 0 {
-			for _, m := range l {
-				c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
-			}
+		few := len(l) <= tuning.SilentFew && quiet <= heard || quiet == 1 && heard == 0
+		if len(l) > near[z] && !few {
+			c.zoneOut[z] = c.now
+		}
+		if out, was := c.zoneOut[z]; !few && was && c.now-out < tuning.SilentCut {
+			continue
+		}
+		for _, m := range l {
+			c.mark(m.Name, MachineMark{MarkDrain, WhyLost})
 		}
 	}
 	// If answers to many have no effect, it is this node that is slow or cut off.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -315,7 +315,8 @@
 	// UnheardPatience is how long a running machine may go unheard by all
 	// nodes, with all nodes heard from, before it is returned.
 	UnheardPatience = 45 * time.Second
-	// UnheardCut is the same where most of a zone's machines are unheard.
+	// UnheardCut is how long most of a zone's machines may go unheard before
+	// these are looked at one by one after all.
 	UnheardCut = 4 * UnheardPatience
 	// IdleKeep is how long an idle machine is kept.
 	IdleKeep = 20 * time.Second
