--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -107,7 +107,10 @@
 	if v := c.desiredView(); v != nil {
 		t.Fatalf("one visit moved machines: %+v", v)
 	}
-	c.pass(6*time.Second, sameZone)
+	c.pass(7*time.Second, sameZone)
+	if v := c.desiredView(); v != nil {
+		t.Fatalf("workers sent to and fro once by a new view were moved: %+v", v)
+	}
 	visits(3)
 	c.pass(time.Second, sameZone)
 	v := c.desiredView()
