--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,24 +92,28 @@
 	stayed  map[TaskID]bool // drew to wait in this part
 	poolRun float64         // run time of the unplaced tasks, s
 
-	placeAt  time.Duration // no placing before
-	planAt   time.Duration // no task commit before
-	machAt   time.Duration // no walk over all machines before
-	viewAt   time.Duration
-	viewSeen time.Duration            // when the view was taken from the watch
-	zoneOut  map[string]time.Duration // when most of a zone's machines were last silent
-	metAt    time.Duration            // since when all serving peers are heard; < 0: they aren't
-	inv      []inv
-	invAt    time.Duration // < 0: none
-	invEpoch uint64
-	kinds    map[option]int64 // machines of the inventory by kind
-	mean     float64
-	meanAt   time.Duration // < 0: none
-	waitIn   map[string]int64
-	waitAll  int64
-	relFrom  string                   // machine at which releases begin
-	avoid    map[string]time.Duration // chunk keys left out of commits until then
-	waitAt   time.Duration
+	placeAt   time.Duration // no placing before
+	planAt    time.Duration // no task commit before
+	machAt    time.Duration // no walk over all machines before
+	viewAt    time.Duration
+	viewSeen  time.Duration            // when the view was taken from the watch
+	zoneOut   map[string]time.Duration // when most of a zone's machines were last silent
+	metAt     time.Duration            // since when all serving peers are heard; < 0: they aren't
+	inv       []inv
+	invAt     time.Duration // < 0: none
+	invEpoch  uint64
+	kinds     map[option]int64 // machines of the inventory by kind
+	mean      float64
+	meanAt    time.Duration // < 0: none
+	waitIn    map[string]int64
+	waitAll   int64
+	others    map[string]bool          // other parts' values that wait for a change from here
+	lastOther string                   // the last one that was changed
+	otherTurn bool                     // the next commit is for one of them
+	lastOps   int                      // changes of the last task commit
+	relFrom   string                   // machine at which releases begin
+	avoid     map[string]time.Duration // chunk keys left out of commits until then
+	waitAt    time.Duration
 
 	ownersOf *View // that owners was made for
 	owners   map[string]string
@@ -160,6 +164,7 @@
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
+	c.others = map[string]bool{}
 	c.zoneOut = map[string]time.Duration{}
 	c.tokens = cfg.WriteRate
 	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -454,7 +454,7 @@
 			m.ownEpoch, m.ownSince, m.heard = c.st.view.Epoch, c.now, c.now+tuning.TakeoverSilence
 		}
 	}
-	silent, near := map[string][]*Machine{}, map[string]int{} // by zone
+	silent, near, all := map[string][]*Machine{}, map[string]int{}, map[string]int{} // by zone
 	heard, quiet := 0, 0
 	limit := tuning.Silent
 	if !c.peersFresh() {
@@ -487,6 +487,7 @@
 			}
 		}
 		zone := c.zoneOf(n)
+		all[zone]++
 		switch {
 		case c.now-m.heard > limit:
 			if mark.State == "" {
@@ -509,7 +510,7 @@
 	// come back one after the other.
 	for _, z := range slices.Sorted(maps.Keys(silent)) {
 		l := silent[z]
-		few := len(l) <= tuning.SilentFew && quiet <= heard || quiet == 1 && heard == 0
+		few := all[z] <= tuning.SilentFew && quiet <= heard || quiet == 1 && heard == 0
 		if len(l) > near[z] && !few {
 			c.zoneOut[z] = c.now
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -31,7 +31,8 @@
 	drop    map[string]bool // jobs that are over: their tasks go
 	machs   map[string]bool
 	dooms   []doom
-	most    int // changes that the present stage may fill the draft up to
+	only    string // the one value of another part that this draft may change; "": none, but its own
+	most    int    // changes that the present stage may fill the draft up to
 	bytes   int
 	notes   []func()
 	used    map[string]Res // bookings of this draft, by machine
@@ -53,6 +54,12 @@
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
 	key := keyChunk(j, i/j.H.Chunk)
+	if foreign := d.c.foreign(j); foreign && key != d.only {
+		d.c.others[key] = true
+		return false
+	} else if !foreign && d.only != "" {
+		return false
+	}
 	header = header || j.H.In
 	if !d.keys[key] && !j.H.In {
 		n++
@@ -72,6 +79,39 @@
 	return n <= d.most && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
 }
 
+// foreign: the value that holds the job's tasks belongs to another part, which
+// writes it a few times a second. Tasks of such a job run on machines of this
+// part after their owners changed: when a zone was cut off, by the hundred.
+func (c *Core) foreign(j *Job) bool {
+	if j.H.In || whole(j.H.Spec) || !c.wide() {
+		return false
+	}
+	if j.H.Pack != "" {
+		return !strings.HasPrefix(j.H.Pack, c.cfg.Node+"/")
+	}
+	return c.partOf(j, Task{}) != c.cfg.Node
+}
+
+// nextOther is the other part's value to be changed next, in turn.
+func (c *Core) nextOther() string {
+	next, first := "", ""
+	for k := range c.others {
+		if till, ok := c.avoid[k]; ok && c.now < till {
+			continue
+		}
+		if first == "" || k < first {
+			first = k
+		}
+		if k > c.lastOther && (next == "" || k < next) {
+			next = k
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	return next
+}
+
 // shun tells whether a task's chunk lost a conflict just now.
 func (c *Core) shun(j *Job, i int) bool {
 	if len(c.avoid) == 0 {
@@ -328,15 +368,47 @@
 	return h
 }
 
-// drivePlan sends the next task commit if there is something to commit.
+// drivePlan sends the next task commit if there is something to commit. It is
+// planned only once it can go out: what waits for credit meanwhile is outrun by
+// others' commits.
 func (c *Core) drivePlan() {
 	if c.task != nil || !c.dirty || !c.fenceOK() || c.now < c.blocked || c.st.ledger < c.needRead || c.now < c.planAt ||
-		c.cfg.WriteRate > 0 && c.tokens <= 0 {
+		c.cfg.WriteRate > 0 && c.tokens < min(float64(c.lastOps), tuning.TaskCredit*c.cfg.WriteRate) {
 		return
 	}
 	c.planAt = c.now + c.pace()
 	c.dirty = false
+	// Own values and one of another part's go in turns, never together: any
+	// change of the other part's fails the whole commit, and with several of them
+	// in each a node can lose every time, for minutes.
 	d := c.newDraft()
+	if only := c.nextOther(); only != "" && c.otherTurn {
+		d.only, c.lastOther = only, only
+		delete(c.others, only)
+		c.planTasks(d)
+	}
+	c.otherTurn = !c.otherTurn
+	if d.ops() == 0 {
+		d = c.newDraft()
+		clear(c.others)
+		c.planTasks(d)
+		c.dirty = c.dirty || len(c.others) > 0
+	}
+	c.lastOps = d.ops()
+	if d.ops() == 0 {
+		c.giveTo = map[TaskID]string{}
+		return
+	}
+	c.sendPlan(d)
+}
+
+// planTasks fills a draft stage by stage.
+func (c *Core) planTasks(d *draft) {
+	if d.only != "" {
+		c.planReleases(d)
+		c.planBookings(d)
+		return
+	}
 	// A transaction takes few changes. Each stage leaves some to those after
 	// it: finishes alone, of many jobs, would fill one after the other.
 	c.planHalts(d)
@@ -348,10 +420,10 @@
 	c.planBookings(d)
 	c.planHandover(d)
 	d.settleTeams()
-	if d.ops() == 0 {
-		c.giveTo = map[TaskID]string{}
-		return
-	}
+}
+
+// sendPlan commits a draft and settles what comes of it.
+func (c *Core) sendPlan(d *draft) {
 	t := d.txn()
 	lowers := map[string]Res{}
 	for n, team := range d.teams {
@@ -517,6 +589,12 @@
 		if j.nB > 0 || c.partOf(j, Task{}) != c.cfg.Node || j.H.Spec == nil {
 			continue
 		}
+		if foreign := c.foreign(j); foreign && d.only != keyChunk(j, 0) {
+			c.others[keyChunk(j, 0)] = true
+			continue
+		} else if !foreign && d.only != "" {
+			continue
+		}
 		touched := false
 		for r := range d.chunks {
 			touched = touched || r.job == id
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,6 +100,9 @@
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
 	AheadSeconds = 3.0
+	// TaskCredit is the credit, in seconds' worth of changes, with which a task
+	// commit goes out however large it is.
+	TaskCredit = 0.6
 	// TxnBytes bounds the text of one transaction, under the 64 KiB limit.
 	TxnBytes = 44 << 10
 	// TaskBytes is the most that one booked task takes in its chunk, with long
@@ -167,9 +170,9 @@
 	// Silent is the silence after which a machine counts as lost, if most
 	// others of its owner still report.
 	Silent = 13 * time.Second
-	// SilentFew machines of a zone may be marked lost though none of the zone is
-	// heard, if most others are.
-	SilentFew = 2
+	// SilentFew machines of a zone, if this node has no more there, may be marked
+	// lost though none of the zone is heard, if most others are.
+	SilentFew = 4
 	// SilentCut is the same while a peer is silent too: a cut may lie between,
 	// and machines beyond it find other owners meanwhile.
 	SilentCut = 27 * time.Second
--- a/internal/wire/budget.go
+++ b/internal/wire/budget.go
@@ -54,7 +54,7 @@
 			// when there is credit, and its size is paid off afterwards.
 			// Views and users go ahead of that credit: others' transactions must
 			// not keep them waiting, and pay for it afterwards.
-			need := min(float64(t.writes), 0.6*b.wrate)
+			need := min(float64(t.writes), tuning.TaskCredit*b.wrate)
 			if l < tuning.LanesAhead {
 				need = -tuning.AheadSeconds * b.wrate
 			}
