--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -449,5 +449,11 @@
 			}
 		}
 	}
+	// Nothing was written, and the state service charges nothing for it. A leader
+	// whose large commits were refused among others' small ones had spent its
+	// second's worth each time all the same.
+	if e.Result == Refused {
+		c.tokens = min(c.cfg.WriteRate, c.tokens+float64(len(p.t.Apply)))
+	}
 	p.done(e.Result, e)
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -33,8 +33,9 @@
 	// sent: check-in whose answer last carried the run of a booking
 	sent map[doom]uint64
 
-	unheeded  int    // reports in a row that show that an answer had no effect
-	sentBaton uint64 // of the last answer
+	unheeded   int           // reports in a row that show that an answer had no effect
+	unheededAt time.Duration // when the first of them came
+	sentBaton  uint64        // of the last answer
 
 	queue    []TaskID
 	errs     int
@@ -149,6 +150,9 @@
 		m.unheeded = 0
 		return
 	}
+	if m.unheeded == 0 {
+		m.unheededAt = c.now
+	}
 	m.unheeded++
 }
 
@@ -526,13 +530,13 @@
 	// If answers to many have no effect, it is this node that is slow or cut off.
 	deaf := 0
 	for _, m := range c.mach {
-		if m.unheeded >= tuning.UnheededMost {
+		if c.deaf(m) {
 			deaf++
 		}
 	}
 	for _, n := range c.machNames() {
 		m := c.mach[n]
-		if m.unheeded >= tuning.UnheededMost && deaf <= 2+heard/10 && c.owns(n) && c.st.marks[n].State == "" {
+		if c.deaf(m) && deaf <= 2+heard/10 && c.owns(n) && c.st.marks[n].State == "" {
 			c.mark(n, MachineMark{MarkDrain, WhyDeaf})
 		}
 		if c.owns(m.Name) && m.errs >= tuning.SickErrors && c.st.marks[m.Name].State == "" &&
@@ -542,6 +546,14 @@
 	}
 }
 
+// deaf: answers to m had no effect, twice in a row. In wide fleets also for two
+// reports' time: after a cut hundreds of workers are answered late, and each
+// that gave an answer up would be returned, while one that really hears nothing
+// loses its tasks with its lease anyway.
+func (c *Core) deaf(m *Machine) bool {
+	return m.unheeded >= tuning.UnheededMost && (!c.wide() || c.now-m.unheededAt >= 2*c.cfg.Report)
+}
+
 // peersFresh tells whether all other serving nodes were heard just now.
 func (c *Core) peersFresh() bool {
 	for _, n := range c.st.view.Serving {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -456,7 +456,7 @@
 			}
 		default:
 			c.log(2, "task commit not confirmed", "result", int(r))
-			c.blocked = c.now + tuning.ConfirmRetry
+			c.blocked = c.now + tuning.RefusedLeast + time.Duration(c.rng.Int64N(int64(tuning.RefusedSpread)))
 			if r == Unknown {
 				// It may land late, while this node goes on booking by its old,
 				// larger share: until the key has changed the smaller one counts.
--- a/internal/core/size_test.go
+++ b/internal/core/size_test.go
@@ -54,3 +54,25 @@
 		t.Errorf("the view has %d bytes", n)
 	}
 }
+
+// TestRefusedCommitsCostNothing: what the state service refuses it doesn't count.
+// A leader whose commits of eight changes were refused seven times of sixteen
+// had paid a second's worth of its changes for each, and gangs waited beside
+// eighty idle machines that were held for them.
+func TestRefusedCommitsCostNothing(t *testing.T) {
+	c := New(Settings{Node: "c-0", WriteRate: 8}, "x")
+	txn := Txn{Apply: make([]Put, 8)}
+	p := c.commit(LaneTask, txn, func(CommitResult, EvCommit) {})
+	if c.tokens != 0 {
+		t.Fatalf("%g left", c.tokens)
+	}
+	c.onCommit(EvCommit{ID: p.id, Result: Refused})
+	if c.tokens != 8 {
+		t.Errorf("%g left after a refusal", c.tokens)
+	}
+	p = c.commit(LaneTask, txn, func(CommitResult, EvCommit) {})
+	c.onCommit(EvCommit{ID: p.id, Result: Unknown}) // it may have been carried out
+	if c.tokens != 0 {
+		t.Errorf("%g left after an unknown outcome", c.tokens)
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -134,6 +134,9 @@
 	case st == 429 || st == 503:
 		ev.Result = core.Refused
 	}
+	if ev.Result == core.Refused {
+		c.b.Refund(len(e.T.Apply))
+	}
 	return ev
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,6 +100,11 @@
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
 	AheadSeconds = 3.0
+	// RefusedLeast and RefusedSpread: how long a node waits after a commit that was
+	// refused or whose outcome is unknown. Nodes that were refused together must
+	// not come back together.
+	RefusedLeast  = 150 * time.Millisecond
+	RefusedSpread = 300 * time.Millisecond
 	// TaskCredit is the credit, in seconds' worth of changes, with which a task
 	// commit goes out however large it is.
 	TaskCredit = 0.6
--- a/internal/wire/budget.go
+++ b/internal/wire/budget.go
@@ -40,6 +40,13 @@
 	<-t.ch
 }
 
+// Refund takes back the changes of a request that was refused unexecuted.
+func (b *Budget) Refund(writes int) {
+	b.mu.Lock()
+	b.wtok = min(b.wrate, b.wtok+float64(writes))
+	b.mu.Unlock()
+}
+
 func (b *Budget) pump() {
 	now := time.Now()
 	dt := now.Sub(b.last).Seconds()
