Users make room for workers before the sockets run out; idle connections close

Connections of users and workers were not bounded. Beyond 70% of the sockets users' connections close after their answer, beyond 92% users are told at once to come back. A word of 2,000 machines fits its frame (test).

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	json "github.com/goccy/go-json"
@@ -36,8 +38,9 @@
 	return json.NewDecoder(c.Request().Body).Decode(i)
 }
 
-// New returns the HTTP server of users and workers.
-func New(b Backend) *http.Server {
+// New returns the HTTP server of users and workers. conns is how many sockets
+// the process may have; 0: no limit known.
+func New(b Backend, conns int) *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.JSONSerializer = jsonCodec{}
@@ -50,16 +53,34 @@
 			_ = c.JSON(code, failure{http.StatusText(code)})
 		}
 	}
-	h := handler{b}
+	h := &handler{b: b, most: conns}
 	e.GET("/up", h.up)
 	e.POST("/v1/jobs", h.submit)
 	e.GET("/v1/jobs/:id", h.poll)
 	e.POST("/v1/jobs/:id/abort", h.abort)
 	e.POST("/checkin", h.checkin)
-	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: tuning.ServedIdle, ConnState: h.count}
 }
 
-type handler struct{ b Backend }
+type handler struct {
+	b    Backend
+	most int          // sockets
+	open atomic.Int64 // connections of users and workers
+}
+
+func (h *handler) count(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		h.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		h.open.Add(-1)
+	}
+}
+
+// crowded tells whether more than a part of the sockets is taken.
+func (h *handler) crowded(percent int64) bool {
+	return h.most > 0 && 100*h.open.Load() > percent*int64(h.most)
+}
 
 func body(c echo.Context) ([]byte, bool) {
 	b, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.BodyLimit+1))
@@ -71,14 +92,22 @@
 	return c.JSON(http.StatusServiceUnavailable, failure{why})
 }
 
-func (h handler) up(c echo.Context) error {
+func (h *handler) up(c echo.Context) error {
 	if !h.b.Ready() {
 		return later(c, "not ready")
 	}
 	return c.JSON(http.StatusOK, struct{}{})
 }
 
-func (h handler) user(c echo.Context, make func(uint64) core.Event) error {
+func (h *handler) user(c echo.Context, make func(uint64) core.Event) error {
+	// Workers hold on to their connections, hundreds of them, and come all to one
+	// node when the others end: users make room for them.
+	if h.crowded(tuning.ConnsShare) {
+		c.Response().Header().Set("Connection", "close")
+	}
+	if h.crowded(tuning.ConnsMost) {
+		return later(c, "too many connections")
+	}
 	a, ok := h.b.Ask(false, make)
 	u, is := a.(core.EfUser)
 	if !ok || !is {
@@ -93,7 +122,7 @@
 	return c.JSON(u.Status, failure{u.Reason})
 }
 
-func (h handler) submit(c echo.Context) error {
+func (h *handler) submit(c echo.Context) error {
 	b, ok := body(c)
 	if !ok {
 		return c.JSON(http.StatusBadRequest, failure{"body unreadable or over 64 KiB"})
@@ -102,7 +131,7 @@
 	return h.user(c, func(r uint64) core.Event { return core.EvSubmit{Req: r, ID: id, Spec: spec} })
 }
 
-func (h handler) poll(c echo.Context) error {
+func (h *handler) poll(c echo.Context) error {
 	id := c.Param("id")
 	if !idForm.MatchString(id) {
 		return c.JSON(http.StatusNotFound, failure{"no such job"})
@@ -110,7 +139,7 @@
 	return h.user(c, func(r uint64) core.Event { return core.EvPoll{Req: r, ID: id} })
 }
 
-func (h handler) abort(c echo.Context) error {
+func (h *handler) abort(c echo.Context) error {
 	id := c.Param("id")
 	if !idForm.MatchString(id) {
 		return c.JSON(http.StatusNotFound, failure{"no such job"})
@@ -118,7 +147,7 @@
 	return h.user(c, func(r uint64) core.Event { return core.EvAbort{Req: r, ID: id} })
 }
 
-func (h handler) checkin(c echo.Context) error {
+func (h *handler) checkin(c echo.Context) error {
 	b, ok := body(c)
 	var r core.Report
 	if ok {
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -46,7 +46,7 @@
 			200, `{"Baton":41,"Orders":[{"Verb":"run","Piece":"job-000412/4","Try":2},{"Verb":"halt","Piece":"job-000377/1","Try":1,"LeewayS":10}]}`, ""},
 	} {
 		w := httptest.NewRecorder()
-		New(&fake{answer: x.answer}).Handler.ServeHTTP(w, httptest.NewRequest(x.method, x.path, strings.NewReader(x.body)))
+		New(&fake{answer: x.answer}, 0).Handler.ServeHTTP(w, httptest.NewRequest(x.method, x.path, strings.NewReader(x.body)))
 		if w.Code != x.code || x.want != "" && w.Body.String() != x.want || w.Header().Get("Retry-After") != x.retry {
 			t.Errorf("%s: %d %s, Retry-After %q", name, w.Code, w.Body, w.Header().Get("Retry-After"))
 		}
@@ -58,8 +58,44 @@
 func TestMalformedReachesTheCoreWithItsId(t *testing.T) {
 	f := &fake{answer: core.EfUser{Status: 200, ID: "job-000412", State: "done"}}
 	w := httptest.NewRecorder()
-	New(f).Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(`{"NameId":"job-000412"}`)))
+	New(f, 0).Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(`{"NameId":"job-000412"}`)))
 	if e, ok := f.asked.(core.EvSubmit); !ok || e.ID != "job-000412" || e.Spec != nil || w.Code != 200 {
 		t.Errorf("asked %+v, answered %d", f.asked, w.Code)
 	}
 }
+
+// TestUsersMakeRoomForWorkers: sockets are few, and workers keep theirs. When all
+// other controllers end, their workers come here.
+func TestUsersMakeRoomForWorkers(t *testing.T) {
+	f := &fake{answer: core.EfUser{Status: 200, ID: "job-000412", State: "running"}}
+	s := New(f, 100)
+	do := func(method, path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		s.Handler.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w
+	}
+	for open := 1; open <= 95; open++ {
+		s.ConnState(nil, http.StateNew)
+		w := do(http.MethodGet, "/v1/jobs/job-000412", "")
+		if code := map[bool]int{true: 503, false: 200}[open > 92]; w.Code != code {
+			t.Fatalf("%d connections: %d", open, w.Code)
+		}
+		if w.Code == 503 && w.Header().Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+		if closes := w.Header().Get("Connection") == "close"; closes != (open > 70) {
+			t.Fatalf("%d connections: closes %v", open, closes)
+		}
+	}
+	f.answer = core.EfCheckin{Status: 200, Baton: 7}
+	if w := do(http.MethodPost, "/checkin", `{"Bracket":"n-1","Shift":1}`); w.Code != 200 {
+		t.Errorf("a worker got %d", w.Code)
+	}
+	for i := 0; i < 40; i++ {
+		s.ConnState(nil, http.StateClosed)
+	}
+	f.answer = core.EfUser{Status: 200, ID: "job-000412", State: "running"}
+	if w := do(http.MethodGet, "/v1/jobs/job-000412", ""); w.Code != 200 {
+		t.Errorf("after others closed: %d", w.Code)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,7 @@
 		})
 	}()
 	go func() {
-		if err := api.New(n).Serve(ln); err != http.ErrServerClosed {
+		if err := api.New(n, s.Params.MachineLimits.Conns).Serve(ln); err != http.ErrServerClosed {
 			failed <- err
 		}
 	}()
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -20,6 +20,18 @@
 	return m
 }
 
+// TestFleetFitsAFrame: one node may own all of 2,000 machines.
+func TestFleetFitsAFrame(t *testing.T) {
+	p := Encode("bracket-1", word(2000))
+	if len(p) > frameMost/2 {
+		t.Errorf("a word of 2,000 machines takes %d bytes", len(p))
+	}
+	_, m, err := Decode(p)
+	if err != nil || len(m.Machines) != 2000 || len(m.Machines[1999].Images) != 6 {
+		t.Errorf("%d machines, %v", len(m.Machines), err)
+	}
+}
+
 func BenchmarkEncode(b *testing.B) {
 	m := word(190)
 	for i := 0; i < b.N; i++ {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -149,6 +149,13 @@
 	UserQueue = 64
 	// WorkerQueue bounds the waiting check-ins, at least one per machine.
 	WorkerQueue = 256
+	// ConnsShare and ConnsMost, in percent of the sockets: beyond the first, users'
+	// connections are closed after their answer; beyond the second, users are told
+	// at once to come back. What is left is for workers and this node's own.
+	ConnsShare = 70
+	ConnsMost  = 92
+	// ServedIdle closes a connection that nobody uses; workers report more often.
+	ServedIdle = 40 * time.Second
 	// BodyLimit is the largest request body, by the protocol.
 	BodyLimit = 64 << 10
 )
