--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,6 +100,11 @@
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
 	AheadSeconds = 3.0
+	// RefusedLeast and RefusedSpread: how long a node waits after a commit that was
+	// refused or whose outcome is unknown. Nodes that were refused together must
+	// not come back together.
+	RefusedLeast  = 150 * time.Millisecond
+	RefusedSpread = 300 * time.Millisecond
 	// TaskCredit is the credit, in seconds' worth of changes, with which a task
 	// commit goes out however large it is.
 	TaskCredit = 0.6
@@ -144,6 +149,13 @@
 	UserQueue = 64
 	// WorkerQueue bounds the waiting check-ins, at least one per machine.
 	WorkerQueue = 256
+	// ConnsShare and ConnsMost, in percent of the sockets: beyond the first, users'
+	// connections are closed after their answer; beyond the second, users are told
+	// at once to come back. What is left is for workers and this node's own.
+	ConnsShare = 70
+	ConnsMost  = 92
+	// ServedIdle closes a connection that nobody uses; workers report more often.
+	ServedIdle = 40 * time.Second
 	// BodyLimit is the largest request body, by the protocol.
 	BodyLimit = 64 << 10
 )
