--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,7 @@
 		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
 		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
 		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: tuning.Spare, Learn: true,
-		ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.WriteShare(),
+		WriteFair: p.State.WriteRps * s.Share(), ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.WriteShare(),
 	}
 	c.ZoneOf = map[string]string{s.Member: s.Domain}
 	for _, m := range s.Members {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,7 @@
 	bounced  map[string]bounceMark // newest report that was sent on, by machine
 	moves    map[string]move
 	overAt   map[string]time.Duration // when an override was first seen
+	rate     float64                  // changes a second for task commits, at present
 	tokens   float64                  // changes that may be made now
 	tokenAt  time.Duration
 	wantMark map[string]MachineMark
@@ -175,7 +176,7 @@
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
 	c.others = map[string]bool{}
 	c.zoneOut = map[string]time.Duration{}
-	c.tokens = cfg.WriteRate
+	c.rate, c.tokens = cfg.WriteRate, cfg.WriteRate
 	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
 	c.fleet.init()
 	c.learn.init(cfg.Node)
@@ -187,7 +188,9 @@
 	c.now = max(c.now, now)
 	c.out = c.out[:0:0]
 	c.Work.Events++
-	c.tokens = min(c.cfg.WriteRate, c.tokens+(c.now-c.tokenAt).Seconds()*c.cfg.WriteRate)
+	dt := (c.now - c.tokenAt).Seconds()
+	c.rate = min(c.cfg.WriteRate, c.rate+dt*tuning.RateRegain*c.cfg.WriteRate)
+	c.tokens = min(c.rate, c.tokens+dt*c.rate)
 	c.tokenAt = c.now
 	switch e := ev.(type) {
 	case EvTick:
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -456,6 +456,11 @@
 			}
 		default:
 			c.log(2, "task commit not confirmed", "result", int(r))
+			// All nodes together want more than the state service takes, and it
+			// refuses users' submissions as well: each goes back towards its part.
+			if r == Refused && c.stateOK {
+				c.rate = max(min(c.cfg.WriteFair, c.rate), c.rate*tuning.RateCut)
+			}
 			c.blocked = c.now + tuning.RefusedLeast + time.Duration(c.rng.Int64N(int64(tuning.RefusedSpread)))
 			if r == Unknown {
 				// It may land late, while this node goes on booking by its old,
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -196,6 +196,7 @@
 	ValueB    int
 	TxnOps    int
 	WriteRate float64 // changes a second that this node plans to make; 0: no bound
+	WriteFair float64 // an equal part of the changes a second; WriteRate may be more
 	ReadRate  float64 // requests a second that this node plans to make; 0: no bound
 	ListLag   time.Duration
 	Seed      uint64
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -96,6 +96,10 @@
 	// WriteOverNodes nodes on.
 	WriteOver      = 1.4
 	WriteOverNodes = 3.0
+	// RateCut is what is left of a node's rate of changes after a refusal, down to
+	// an equal part, and RateRegain the part of its full rate that it gains a second.
+	RateCut    = 0.85
+	RateRegain = 0.01
 	// LanesAhead lanes (views, users) may run up AheadSeconds of debt in
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
