--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -262,7 +262,7 @@
 	c.poolRun = 0
 	room, roomy := c.newTeamRoom(), map[Res][]*target{}
 	js := c.byUrgency()
-	for _, r := range placeRounds(wide, len(ts) > 0 && ts[0].scarce) {
+	for _, r := range placeRounds(wide && len(ts) > 0 && ts[0].scarce) {
 		for _, j := range js {
 			if r.split && j.late != r.late || c.giveJob[j.ID] != "" {
 				continue
@@ -320,15 +320,10 @@
 
 // placeRounds: where every slot is wanted, what can still be in time goes first,
 // and within that a task whose image is there goes before one that would keep
-// the slot waiting for a fetch as long as a quarter of a run. Where there is room,
-// a wide fleet has it beside the image somewhere; the draw alone, to which a full
-// machine is worth more than a fetch, would let half of the starts wait for one.
-func placeRounds(wide, scarce bool) []placeRound {
-	switch {
-	case !wide:
+// the slot waiting for a fetch as long as a quarter of a run.
+func placeRounds(scarce bool) []placeRound {
+	if !scarce {
 		return []placeRound{{}}
-	case !scarce:
-		return []placeRound{{cached: true}, {}}
 	}
 	return []placeRound{{true, false, true}, {true, false, false}, {true, true, true}, {true, true, false}}
 }
