--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -76,8 +76,15 @@
 	w.Run(80 * time.Second)
 	crash := w.Now
 	for i, n := range w.nodes {
-		n.crash(4*time.Second + time.Duration(i*130)*time.Millisecond)
+		back := 4*time.Second + time.Duration(i*130)*time.Millisecond
+		if i == 2 {
+			back = 150 * time.Millisecond // its old grant still lives
+		}
+		n.crash(back)
 	}
+	// Twice more in the middle of the election, back at once.
+	w.after(4200*time.Millisecond, func() { w.nodes[0].crash(100 * time.Millisecond) })
+	w.after(4700*time.Millisecond, func() { w.nodes[2].crash(100 * time.Millisecond) })
 	w.Run(crash + 12*time.Second)
 	changes, requests := w.st.changes, w.st.requests
 	n, up := w.answered(crash)
