--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -199,3 +201,55 @@
 		t.Errorf("%d reports count as unheeded, each 5 s after an answer", m.unheeded)
 	}
 }
+
+// TestOthersValuesInTurns: outcomes of tasks whose records are in other parts'
+// values go into commits of their own, one value each. In one commit with the
+// rest they failed it each time their owners wrote first: after a zone's return
+// its nodes had not one commit through for the rest of the day.
+func TestOthersValuesInTurns(t *testing.T) {
+	c := wideCore()
+	var mine []string
+	for _, n := range c.machNames() {
+		if c.owns(n) && len(mine) < 4 {
+			mine = append(mine, n)
+		}
+	}
+	ledger := uint64(10)
+	put := func(key string, v any) {
+		ledger++
+		c.apply(KV{Key: key, Value: enc(v), Stamp: ledger})
+	}
+	for i, pack := range []string{"c-0/0", "c-1/0", "c-2/3", "c-0/1"} {
+		id := fmt.Sprintf("job-00000%d", i)
+		put(keyJob(id), &Header{State: JobOpen, N: 2, Chunk: 2, Part: pack[:3], Pack: pack,
+			Spec: &Spec{Class: "x", Team: "red", Shape: Array, N: 2, Need: Res{CPU: 1000}}})
+		v := &chunkValue{J: map[string]string{}}
+		v.put(id, []Task{{State: Booked, Attempt: 1, Machine: mine[i], Shift: 1, Part: "c-0", Zone: c.zoneOf(mine[i])}, {State: Done}})
+		put(prePack+pack, v)
+		c.takeReport(c.mach[mine[i]], &Report{Machine: mine[i], Type: "box", Zone: c.zoneOf(mine[i]), Shift: 1, Tally: 5, Recall: -1,
+			Tasks: []Seen{{Task: TaskID{id, 0}, Attempt: 1, State: SeenEnded, Cause: CauseDone}}}, true)
+	}
+	c.st.ledger = ledger
+	var seen []string
+	for i := 0; i < 12; i++ {
+		c.now += time.Second
+		c.fenceAt, c.grantAt, c.dirty = c.now, c.now, true
+		c.drivePlan()
+		if c.task == nil {
+			continue
+		}
+		packs := ""
+		for _, a := range c.task.t.Apply {
+			if strings.HasPrefix(a.Key, prePack) {
+				packs += a.Key[len(prePack):] + " "
+			}
+		}
+		seen = append(seen, packs)
+		ledger++
+		c.onCommit(EvCommit{ID: c.task.id, Result: Committed, Ledger: ledger})
+		c.st.ledger = ledger
+	}
+	if want := []string{"c-0/0 c-0/1 ", "c-1/0 ", "c-2/3 "}; !slices.Equal(seen, want) {
+		t.Errorf("values changed by each commit: %q, want %q", seen, want)
+	}
+}
