--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -208,9 +208,37 @@
 // its nodes had not one commit through for the rest of the day.
 func TestOthersValuesInTurns(t *testing.T) {
 	c := wideCore()
+	ledger := c.ended("c-0/0", "c-1/0", "c-2/3", "c-0/1")
+	var seen []string
+	for i := 0; i < 12; i++ {
+		c.now += time.Second
+		c.fenceAt, c.grantAt, c.dirty = c.now, c.now, true
+		c.drivePlan()
+		if c.task == nil {
+			continue
+		}
+		packs := ""
+		for _, a := range c.task.t.Apply {
+			if strings.HasPrefix(a.Key, prePack) {
+				packs += a.Key[len(prePack):] + " "
+			}
+		}
+		seen = append(seen, packs)
+		ledger++
+		c.onCommit(EvCommit{ID: c.task.id, Result: Committed, Ledger: ledger})
+		c.st.ledger = ledger
+	}
+	if want := []string{"c-0/0 c-0/1 ", "c-1/0 ", "c-2/3 "}; !slices.Equal(seen, want) {
+		t.Errorf("values changed by each commit: %q, want %q", seen, want)
+	}
+}
+
+// ended gives the core a job in each of the packs, one of whose tasks has ended
+// on a machine of its own; it returns the ledger.
+func (c *Core) ended(packs ...string) uint64 {
 	var mine []string
 	for _, n := range c.machNames() {
-		if c.owns(n) && len(mine) < 4 {
+		if c.owns(n) && len(mine) < len(packs) {
 			mine = append(mine, n)
 		}
 	}
@@ -219,7 +247,7 @@
 		ledger++
 		c.apply(KV{Key: key, Value: enc(v), Stamp: ledger})
 	}
-	for i, pack := range []string{"c-0/0", "c-1/0", "c-2/3", "c-0/1"} {
+	for i, pack := range packs {
 		id := fmt.Sprintf("job-00000%d", i)
 		put(keyJob(id), &Header{State: JobOpen, N: 2, Chunk: 2, Part: pack[:3], Pack: pack,
 			Spec: &Spec{Class: "x", Team: "red", Shape: Array, N: 2, Need: Res{CPU: 1000}}})
@@ -230,26 +258,33 @@
 			Tasks: []Seen{{Task: TaskID{id, 0}, Attempt: 1, State: SeenEnded, Cause: CauseDone}}}, true)
 	}
 	c.st.ledger = ledger
-	var seen []string
-	for i := 0; i < 12; i++ {
-		c.now += time.Second
+	return ledger
+}
+
+// TestRefusalsSlowDown: nodes may use more than an equal part of the changes, as
+// long as the state service takes them; refusals hit users' submissions as well.
+func TestRefusalsSlowDown(t *testing.T) {
+	c := wideCore()
+	c.cfg.WriteRate, c.cfg.WriteFair, c.rate, c.tokens, c.stateOK = 8, 5, 8, 8, true
+	c.ended("c-0/0")
+	turn := func(r CommitResult) {
+		c.now += 2 * time.Second
 		c.fenceAt, c.grantAt, c.dirty = c.now, c.now, true
-		c.drivePlan()
+		c.Step(c.now, EvTick{})
 		if c.task == nil {
-			continue
+			t.Fatalf("no commit at %v", c.now)
 		}
-		packs := ""
-		for _, a := range c.task.t.Apply {
-			if strings.HasPrefix(a.Key, prePack) {
-				packs += a.Key[len(prePack):] + " "
-			}
-		}
-		seen = append(seen, packs)
-		ledger++
-		c.onCommit(EvCommit{ID: c.task.id, Result: Committed, Ledger: ledger})
-		c.st.ledger = ledger
+		c.onCommit(EvCommit{ID: c.task.id, Result: r})
 	}
-	if want := []string{"c-0/0 c-0/1 ", "c-1/0 ", "c-2/3 "}; !slices.Equal(seen, want) {
-		t.Errorf("values changed by each commit: %q, want %q", seen, want)
+	for i := 0; i < 12; i++ {
+		turn(Refused)
+	}
+	if c.rate < 5 || c.rate > 5.5 {
+		t.Errorf("%g changes a second after refusals", c.rate)
+	}
+	c.now += time.Minute
+	turn(Refused)
+	if c.rate < 6 {
+		t.Errorf("%g changes a second a minute later", c.rate)
 	}
 }
