--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -199,3 +201,90 @@
 		t.Errorf("%d reports count as unheeded, each 5 s after an answer", m.unheeded)
 	}
 }
+
+// TestOthersValuesInTurns: outcomes of tasks whose records are in other parts'
+// values go into commits of their own, one value each. In one commit with the
+// rest they failed it each time their owners wrote first: after a zone's return
+// its nodes had not one commit through for the rest of the day.
+func TestOthersValuesInTurns(t *testing.T) {
+	c := wideCore()
+	ledger := c.ended("c-0/0", "c-1/0", "c-2/3", "c-0/1")
+	var seen []string
+	for i := 0; i < 12; i++ {
+		c.now += time.Second
+		c.fenceAt, c.grantAt, c.dirty = c.now, c.now, true
+		c.drivePlan()
+		if c.task == nil {
+			continue
+		}
+		packs := ""
+		for _, a := range c.task.t.Apply {
+			if strings.HasPrefix(a.Key, prePack) {
+				packs += a.Key[len(prePack):] + " "
+			}
+		}
+		seen = append(seen, packs)
+		ledger++
+		c.onCommit(EvCommit{ID: c.task.id, Result: Committed, Ledger: ledger})
+		c.st.ledger = ledger
+	}
+	if want := []string{"c-0/0 c-0/1 ", "c-1/0 ", "c-2/3 "}; !slices.Equal(seen, want) {
+		t.Errorf("values changed by each commit: %q, want %q", seen, want)
+	}
+}
+
+// ended gives the core a job in each of the packs, one of whose tasks has ended
+// on a machine of its own; it returns the ledger.
+func (c *Core) ended(packs ...string) uint64 {
+	var mine []string
+	for _, n := range c.machNames() {
+		if c.owns(n) && len(mine) < len(packs) {
+			mine = append(mine, n)
+		}
+	}
+	ledger := uint64(10)
+	put := func(key string, v any) {
+		ledger++
+		c.apply(KV{Key: key, Value: enc(v), Stamp: ledger})
+	}
+	for i, pack := range packs {
+		id := fmt.Sprintf("job-00000%d", i)
+		put(keyJob(id), &Header{State: JobOpen, N: 2, Chunk: 2, Part: pack[:3], Pack: pack,
+			Spec: &Spec{Class: "x", Team: "red", Shape: Array, N: 2, Need: Res{CPU: 1000}}})
+		v := &chunkValue{J: map[string]string{}}
+		v.put(id, []Task{{State: Booked, Attempt: 1, Machine: mine[i], Shift: 1, Part: "c-0", Zone: c.zoneOf(mine[i])}, {State: Done}})
+		put(prePack+pack, v)
+		c.takeReport(c.mach[mine[i]], &Report{Machine: mine[i], Type: "box", Zone: c.zoneOf(mine[i]), Shift: 1, Tally: 5, Recall: -1,
+			Tasks: []Seen{{Task: TaskID{id, 0}, Attempt: 1, State: SeenEnded, Cause: CauseDone}}}, true)
+	}
+	c.st.ledger = ledger
+	return ledger
+}
+
+// TestRefusalsSlowDown: nodes may use more than an equal part of the changes, as
+// long as the state service takes them; refusals hit users' submissions as well.
+func TestRefusalsSlowDown(t *testing.T) {
+	c := wideCore()
+	c.cfg.WriteRate, c.cfg.WriteFair, c.rate, c.tokens, c.stateOK = 8, 5, 8, 8, true
+	c.ended("c-0/0")
+	turn := func(r CommitResult) {
+		c.now += 2 * time.Second
+		c.fenceAt, c.grantAt, c.dirty = c.now, c.now, true
+		c.Step(c.now, EvTick{})
+		if c.task == nil {
+			t.Fatalf("no commit at %v", c.now)
+		}
+		c.onCommit(EvCommit{ID: c.task.id, Result: r})
+	}
+	for i := 0; i < 12; i++ {
+		turn(Refused)
+	}
+	if c.rate < 5 || c.rate > 5.5 {
+		t.Errorf("%g changes a second after refusals", c.rate)
+	}
+	c.now += time.Minute
+	turn(Refused)
+	if c.rate < 6 {
+		t.Errorf("%g changes a second a minute later", c.rate)
+	}
+}
