--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,7 +118,6 @@
 	waitAll   int64
 	others    map[string]bool          // other parts' values that wait for a change from here
 	lastOther string                   // the last one that was changed
-	otherMost int                      // how many of them may go in one commit
 	otherTurn bool                     // the next commit is for one of them
 	lastOps   int                      // changes of the last task commit
 	relFrom   string                   // machine at which releases begin
@@ -175,7 +174,7 @@
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
-	c.others, c.otherMost = map[string]bool{}, 1
+	c.others = map[string]bool{}
 	c.zoneOut = map[string]time.Duration{}
 	c.rate, c.tokens = cfg.WriteRate, cfg.WriteRate
 	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -31,8 +31,8 @@
 	drop    map[string]bool // jobs that are over: their tasks go
 	machs   map[string]bool
 	dooms   []doom
-	only    map[string]bool // the values of other parts that this draft may change; empty: none, but its own
-	most    int             // changes that the present stage may fill the draft up to
+	only    string // the one value of another part that this draft may change; "": none, but its own
+	most    int    // changes that the present stage may fill the draft up to
 	bytes   int
 	notes   []func()
 	used    map[string]Res // bookings of this draft, by machine
@@ -54,10 +54,10 @@
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
 	key := keyChunk(j, i/j.H.Chunk)
-	if foreign := d.c.foreign(j); foreign && !d.only[key] {
+	if foreign := d.c.foreign(j); foreign && key != d.only {
 		d.c.others[key] = true
 		return false
-	} else if !foreign && len(d.only) > 0 {
+	} else if !foreign && d.only != "" {
 		return false
 	}
 	header = header || j.H.In
@@ -92,21 +92,24 @@
 	return c.partOf(j, Task{}) != c.cfg.Node
 }
 
-// nextOthers are the other parts' values to be changed next, in turn.
-func (c *Core) nextOthers() map[string]bool {
-	var keys []string
-	for _, k := range slices.Sorted(maps.Keys(c.others)) {
-		if till, ok := c.avoid[k]; !ok || c.now >= till {
-			keys = append(keys, k)
+// nextOther is the other part's value to be changed next, in turn.
+func (c *Core) nextOther() string {
+	next, first := "", ""
+	for k := range c.others {
+		if till, ok := c.avoid[k]; ok && c.now < till {
+			continue
+		}
+		if first == "" || k < first {
+			first = k
+		}
+		if k > c.lastOther && (next == "" || k < next) {
+			next = k
 		}
 	}
-	from, _ := slices.BinarySearch(keys, c.lastOther+"+")
-	only := map[string]bool{}
-	for i := 0; i < min(len(keys), c.otherMost); i++ {
-		k := keys[(from+i)%len(keys)]
-		only[k], c.lastOther = true, k
+	if next == "" {
+		next = first
 	}
-	return only
+	return next
 }
 
 // shun tells whether a task's chunk lost a conflict just now.
@@ -375,17 +378,14 @@
 	}
 	c.planAt = c.now + c.pace()
 	c.dirty = false
-	// Own values and other parts' go in turns, never together: any change of one
-	// of the others' fails the whole commit, and with several of them in each a
-	// node can lose every time, for minutes. How many go at once depends on how it
-	// went: one after a conflict, twice as many after each success.
+	// Own values and one of another part's go in turns, never together: any
+	// change of the other part's fails the whole commit, and with several of them
+	// in each a node can lose every time, for minutes.
 	d := c.newDraft()
-	if c.otherTurn {
-		if only := c.nextOthers(); len(only) > 0 {
-			d.only = only
-			maps.DeleteFunc(c.others, func(k string, _ bool) bool { return only[k] })
-			c.planTasks(d)
-		}
+	if only := c.nextOther(); only != "" && c.otherTurn {
+		d.only, c.lastOther = only, only
+		delete(c.others, only)
+		c.planTasks(d)
 	}
 	c.otherTurn = !c.otherTurn
 	if d.ops() == 0 {
@@ -404,7 +404,7 @@
 
 // planTasks fills a draft stage by stage.
 func (c *Core) planTasks(d *draft) {
-	if len(d.only) > 0 {
+	if d.only != "" {
 		c.planReleases(d)
 		c.planBookings(d)
 		return
@@ -439,12 +439,6 @@
 		for n := range d.machs {
 			c.touched[n] = true
 		}
-		if len(d.only) > 0 {
-			c.otherMost = 1
-			if r == Committed {
-				c.otherMost = min(2*len(d.only), max(1, c.cfg.TxnOps-2))
-			}
-		}
 		switch r {
 		case Committed:
 			for _, f := range d.notes {
@@ -600,10 +594,10 @@
 		if j.nB > 0 || c.partOf(j, Task{}) != c.cfg.Node || j.H.Spec == nil {
 			continue
 		}
-		if foreign := c.foreign(j); foreign && !d.only[keyChunk(j, 0)] {
+		if foreign := c.foreign(j); foreign && d.only != keyChunk(j, 0) {
 			c.others[keyChunk(j, 0)] = true
 			continue
-		} else if !foreign && len(d.only) > 0 {
+		} else if !foreign && d.only != "" {
 			continue
 		}
 		touched := false
