--- a/internal/api/user.go
+++ b/internal/api/user.go
@@ -12,10 +12,11 @@
 )
 
 // submission is the body of POST /v1/jobs. Pointers tell a missing field from
-// a zero; Builds, Yard and DueS may be null or missing.
+// a zero; Builds, Yard, DueS and Awaits may be null or missing. Names that are
+// written into every change of a job's header have a bound.
 type submission struct {
 	NameId    *string   `json:"NameId" validate:"required"`
-	Docket    *string   `json:"Docket" validate:"required,min=1"`
+	Docket    *string   `json:"Docket" validate:"required,min=1,max=200"`
 	Crew      *string   `json:"Crew" validate:"required,min=1"`
 	Shape     *string   `json:"Shape" validate:"required,oneof=batch group daemon"`
 	Urgency   *string   `json:"Urgency" validate:"required,oneof=production urgent standard idle"`
@@ -23,7 +24,7 @@
 	Cores     *float64  `json:"Cores" validate:"required,amount"`
 	Cards     *float64  `json:"Cards" validate:"required,amount"`
 	MemGb     *float64  `json:"MemGb" validate:"required,amount"`
-	Kit       *string   `json:"Kit" validate:"required"`
+	Kit       *string   `json:"Kit" validate:"required,max=200"`
 	PullGb    *float64  `json:"PullGb" validate:"required,amount"`
 	Builds    *[]string `json:"Builds"`
 	Yard      *string   `json:"Yard"`
@@ -34,6 +35,7 @@
 	SnapshotS *float64  `json:"SnapshotS" validate:"required,amount"`
 	StowS     *float64  `json:"StowS" validate:"required,amount"`
 	DueS      *float64  `json:"DueS" validate:"omitempty,amount"`
+	Awaits    *[]string `json:"Awaits" validate:"omitempty,dive,jobid"`
 }
 
 type jobAnswer struct {
@@ -65,6 +67,9 @@
 	}); err != nil {
 		panic(err)
 	}
+	if err := v.RegisterValidation("jobid", func(f validator.FieldLevel) bool { return idForm.MatchString(f.Field().String()) }); err != nil {
+		panic(err)
+	}
 	return v
 }
 
@@ -100,6 +105,9 @@
 	if s.DueS != nil {
 		sp.Due = *s.DueS
 	}
+	if s.Awaits != nil {
+		sp.Needs = *s.Awaits
+	}
 	return id, sp
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,12 @@
 			WriteRps float64 `json:"write_rps" validate:"gt=0"`
 			ValueKb  float64 `json:"value_kb" validate:"gte=1"`
 			TxnOps   int     `json:"txn_ops" validate:"gte=4"`
+			Next     *struct {
+				Rps      float64 `json:"rps" validate:"omitempty,gt=0"`
+				WriteRps float64 `json:"write_rps" validate:"omitempty,gt=0"`
+				ValueKb  float64 `json:"value_kb" validate:"omitempty,gte=1"`
+				TxnOps   int     `json:"txn_ops" validate:"omitempty,gte=4"`
+			} `json:"next"` // from some moment on, without notice
 		} `json:"state"`
 		Cloud struct {
 			Rps      float64 `json:"rps" validate:"gt=0"`
@@ -149,6 +155,28 @@
 	return min(tuning.Fence, secs(w.CancelS-w.LeaseS*1.001)-tuning.DriftMargin-tuning.FenceMargin)
 }
 
+// Least are the limits of the state service that hold now and will hold after
+// they change: the smaller of both. Whatever is written within them may be
+// written again later.
+func (s *Settings) Least() (rps, writeRps, valueKb float64, txnOps int) {
+	st := s.Params.State
+	rps, writeRps, valueKb, txnOps = st.Rps, st.WriteRps, st.ValueKb, st.TxnOps
+	n := st.Next
+	if n == nil {
+		return
+	}
+	less := func(now, next float64) float64 {
+		if next > 0 {
+			return min(now, next)
+		}
+		return now
+	}
+	if n.TxnOps > 0 {
+		txnOps = min(txnOps, n.TxnOps)
+	}
+	return less(rps, n.Rps), less(writeRps, n.WriteRps), less(valueKb, n.ValueKb), txnOps
+}
+
 // Share is the part of the published rates that one node plans to use.
 func (s *Settings) Share() float64 { return tuning.BudgetShare / float64(len(s.Members)+1) }
 
@@ -167,12 +195,13 @@
 // Core gives the core's settings.
 func (s *Settings) Core(o *Operator, seed uint64) core.Settings {
 	p := s.Params
+	rps, writeRps, valueKb, txnOps := s.Least()
 	c := core.Settings{
 		Node: s.Member, Zone: s.Domain, Nodes: []string{s.Member}, Teams: map[string]core.Limits{}, Zones: p.Zones,
 		Report: secs(p.Workers.ReportS), Lease: secs(p.Workers.LeaseS), Cancel: secs(p.Workers.CancelS),
-		Peer: secs(p.Workers.GangPeerS), ValueB: int(p.State.ValueKb * 1024), TxnOps: p.State.TxnOps,
+		Peer: secs(p.Workers.GangPeerS), ValueB: int(valueKb * 1024), ValueNow: int(p.State.ValueKb * 1024), TxnOps: txnOps,
 		ListLag: secs(p.Cloud.ListLagS), Seed: seed, Fence: s.fence(), Wait: map[string]float64{}, Goals: map[string][]float64{}, Spare: tuning.Spare, Learn: true,
-		WriteFair: p.State.WriteRps * s.Share(), ReadRate: p.State.Rps * s.Share(), WriteRate: p.State.WriteRps * s.WriteShare(),
+		WriteFair: writeRps * s.Share(), ReadRate: rps * s.Share(), WriteRate: writeRps * s.WriteShare(),
 	}
 	c.ZoneOf = map[string]string{s.Member: s.Domain}
 	for _, m := range s.Members {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	Held     int // held check-ins looked at
 	Machines int // machines looked at one by one (driveMachines)
 	Targets  int // machines weighed for tasks (choices)
+	TooLarge int // values refused for their size
 }
 
 // Core is one node's whole state.
@@ -71,8 +72,16 @@
 	needRead uint64         // cache must reach this ledger before the next
 
 	// users
-	waiters []waiter
-	subs    map[string]bool
+	waiters  []waiter
+	subs     map[string]bool
+	nextNeed int // lists of awaited jobs kept in pieces so far
+
+	// formats and sizes
+	formatBusy bool
+	formatAt   time.Duration // no announcement before
+	fell       bool          // a refusal showed that values must be smaller now
+	splitTurn  bool          // the next commit brings a value to its new size
+	stuckNow   map[string]bool
 
 	// view
 	proposing bool
@@ -174,9 +183,10 @@
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
-	c.others = map[string]bool{}
+	c.others, c.stuckNow = map[string]bool{}, map[string]bool{}
 	c.zoneOut = map[string]time.Duration{}
 	c.rate, c.tokens = cfg.WriteRate, cfg.WriteRate
+	c.cfg.ValueNow = max(cfg.ValueNow, cfg.ValueB)
 	c.avoid, c.overAt = map[string]time.Duration{}, map[string]time.Duration{}
 	c.fleet.init()
 	c.learn.init(cfg.Node)
@@ -249,6 +259,7 @@
 	if c.synced {
 		c.tellPeers()
 		c.driveReady()
+		c.driveFormat()
 		c.driveMarks()
 		c.drivePlace()
 		c.drivePlan()
@@ -271,6 +282,9 @@
 	GuardProof = "proof" // book elsewhere only what is proven off
 	GuardQuota = "quota" // start only within the team's limit
 	GuardDead  = "dead"  // never answer a session that was given up
+
+	GuardNeeds   = "needs"   // start nothing before all that it awaits is done
+	GuardCascade = "cascade" // cancel what needs a cancelled job
 )
 
 // guard tells whether a guard stands; outside tests all do.
@@ -456,6 +470,9 @@
 	// whose large commits were refused among others' small ones had spent its
 	// second's worth each time all the same.
 	if e.Result == Refused {
+		if e.Bad {
+			c.noteRefusal(p.t)
+		}
 		c.tokens = min(c.cfg.WriteRate, c.tokens+float64(len(p.t.Apply)))
 	}
 	p.done(e.Result, e)
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -25,11 +25,11 @@
 		return
 	}
 	sort.SliceStable(js, func(a, b int) bool {
-		x, y := js[a].H.Spec, js[b].H.Spec
-		if ox, oy := c.owed(x, d), c.owed(y, d); ox != oy {
+		x, y := js[a], js[b]
+		if ox, oy := c.owed(x.H.Spec, d), c.owed(y.H.Spec, d); ox != oy {
 			return ox
 		}
-		return x.Prio > y.Prio
+		return x.prio > y.prio
 	})
 	ms := c.wholeRoom(js, d)
 	// First those whose image is on a machine with room: a fetch takes a good
@@ -221,7 +221,7 @@
 			attempt = max(attempt, j.Tasks[i].Attempt)
 		}
 		// All of a gang goes in one commit, or it waits for an emptier one.
-		chunks := (sp.N + j.H.Chunk - 1) / j.H.Chunk
+		chunks := j.cells()
 		if d.ops()+chunks+1 > d.most || d.bytes+chunks*c.cfg.ValueB > tuning.TxnBytes ||
 			len(d.conds)+chunks+2+min(sp.N, len(c.cfg.Nodes)) > 4*c.cfg.TxnOps {
 			c.dirty = true
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"strconv"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -71,7 +70,7 @@
 	switch {
 	case j.H.State == JobDone:
 		u.State, u.Done, u.Running = "done", j.H.N, 0
-	case j.H.State == JobCancelled:
+	case j.cancelled():
 		u.State, u.Running = "cancelled", 0
 	case j.nB > 0:
 		u.State = "running"
@@ -118,6 +117,8 @@
 			c.emit(EfUser{Req: w.req, Status: 404, ID: w.id})
 		case w.submit.Spec == nil:
 			c.emit(EfUser{Req: w.req, Status: 400, ID: w.id, Reason: w.why})
+		case w.why == "":
+			c.accept(*w.submit)
 		default:
 			c.emit(EfUser{Req: w.req, Status: 422, ID: w.id, Reason: w.why})
 		}
@@ -221,27 +222,57 @@
 		c.wait(waiter{req: e.Req, id: e.ID, submit: &e, why: why})
 		return
 	}
+	if len(e.Spec.Needs) > 0 {
+		// Until all controllers know what awaiting is, one that doesn't might start
+		// the job; the user comes back.
+		if !c.formatOn() {
+			c.later(e.Req, "not all controllers know Awaits yet")
+			return
+		}
+		// Another node may have accepted a moment ago what this one names.
+		c.wait(waiter{req: e.Req, id: e.ID, submit: &e})
+		return
+	}
 	if c.subs[e.ID] {
 		c.later(e.Req, "being accepted")
 		return
 	}
 	c.subs[e.ID] = true
-	h := &Header{
-		State: JobOpen, Spec: e.Spec, N: e.Spec.N, Part: c.roomiest(e.Spec),
-		Order: c.st.ledger + 1, Chunk: max(1, (c.cfg.ValueB-tuning.PackSlack)/(2*tuning.TaskBytes)),
-	}
-	if pack, ok := c.packFor(e.Spec, h.Part); ok {
+	c.put(e, c.header(e.Spec))
+}
+
+// header is that of a new job.
+func (c *Core) header(sp *Spec) *Header {
+	sp.Types = c.knownTypes(sp.Types)
+	h := &Header{State: JobOpen, Spec: sp, N: sp.N, Part: c.roomiest(sp), Order: c.st.ledger + 1}
+	if c.formatOn() {
+		h.Born = c.wallMS()
+	}
+	// The tasks of a gang are booked at once, so its chunks have room for all of
+	// them; in others bookings wait where a chunk is full (draft.room).
+	size := tuning.ChunkBytes
+	if sp.Shape == Gang {
+		size = tuning.TaskBytes
+	}
+	h.Chunk = max(1, (c.cfg.ValueB-tuning.PackSlack)/size)
+	if pack, ok := c.packFor(sp, h.Part); ok {
 		h.Pack, h.Chunk = pack, h.N
-	} else if whole(e.Spec) && h.N <= tuning.InHeader {
+	} else if whole(sp) && h.N <= tuning.InHeader {
 		h.In, h.Chunk = true, h.N
 	}
+	return h
+}
+
+// put writes the header of a new job and tells its user.
+func (c *Core) put(e EvSubmit, h *Header) {
 	t := Txn{When: []Cond{{keyJob(e.ID), 0}}, Apply: []Put{{Key: keyJob(e.ID), Value: enc(h)}}}
 	c.commit(LaneUser, t, func(r CommitResult, _ EvCommit) {
 		delete(c.subs, e.ID)
 		switch r {
 		case Committed:
 			c.log(2, "job accepted", "job", e.ID, "class", e.Spec.Class, "tasks", e.Spec.N, "part", h.Part,
-				"team", e.Spec.Team, "image", e.Spec.Image, "image_gb", e.Spec.ImageGB, "waiting", c.waitIn, "est_s", e.Spec.Est, "due_s", e.Spec.Due)
+				"team", e.Spec.Team, "image", e.Spec.Image, "image_gb", e.Spec.ImageGB, "waiting", c.waitIn, "est_s", e.Spec.Est, "due_s", e.Spec.Due,
+				"awaits", e.Spec.Needs)
 			if j := c.st.jobs[e.ID]; j != nil {
 				c.say(e.Req, 201, j)
 			}
@@ -304,7 +335,10 @@
 		return "", false
 	}
 	for k := 0; ; k++ {
-		name := part + "/" + strconv.Itoa(k)
+		name := packName(part, k)
+		if c.st.large[prePack+name] {
+			continue
+		}
 		sum := cost(sp.N)
 		for _, j := range c.st.packs[name] {
 			sum += cost(j.nQ + j.nB)
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -257,11 +257,7 @@
 	l.last = f
 	rec := WindowRec{Seq: l.seq, Loads: loads, Passes: l.passes, Theta: l.theta}
 	l.passes, l.finishes = 0, 0
-	b := enc(rec)
-	if len(b) > c.cfg.ValueB {
-		rec.Loads = nil
-		b = enc(rec)
-	}
+	b := c.thin(rec)
 	c.commit(LaneIdle, Txn{Apply: []Put{{Key: preWindow + c.cfg.Node, Value: b}}}, func(CommitResult, EvCommit) {})
 }
 
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -636,7 +637,9 @@
 			if p.Drain == nil {
 				p.Drain = map[string]string{}
 			}
+			c.shed(&p)
 		}
+		was, drained := p.Drain[n]
 		if m.State == MarkGone {
 			delete(p.Drain, n)
 			p.Gone = append(p.Gone, n)
@@ -644,7 +647,9 @@
 			p.Drain[n] = m.Why
 		}
 		if !c.trimPage(&p) {
-			delete(p.Drain, n) // no room until others are returned
+			if delete(p.Drain, n); drained { // no room until others are returned
+				p.Drain[n] = was
+			}
 			continue
 		}
 		pages[home] = p
@@ -673,6 +678,25 @@
 	})
 }
 
+// shed drops drain marks from a page written under larger limits until it fits
+// again: such a machine takes bookings once more, until it is marked anew.
+func (c *Core) shed(p *MarkPage) {
+	if c.trimPage(p) {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(p.Drain), func(a, b string) int {
+		if ia, ib := p.Drain[a] == WhyIdle, p.Drain[b] == WhyIdle; ia != ib {
+			return map[bool]int{true: -1, false: 1}[ia]
+		}
+		return strings.Compare(b, a)
+	})
+	for _, n := range names {
+		if delete(p.Drain, n); c.trimPage(p) {
+			return
+		}
+	}
+}
+
 // trimPage forgets the machines gone longest until the page fits its value;
 // false: it doesn't fit even so.
 func (c *Core) trimPage(p *MarkPage) bool {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -455,9 +455,11 @@
 		}
 		x := &urgent{j: j, owed: owed, run: c.runTime(sp) + tuning.StartLag}
 		x.work = float64(j.nQ) * c.runTime(sp) / c.slots(sp)
-		if sp.Due > 0 {
+		if j.dueLen > 0 {
+			// Its own deadline, or what is left of that of a job which needs it.
+			left := time.Duration(j.dueAt - int64(c.now)).Seconds()
 			for _, k := range c.cfg.Dues {
-				x.goals = append(x.goals, sp.Due*k-age)
+				x.goals = append(x.goals, left+(k-1)*j.dueLen)
 			}
 		}
 		for _, g := range c.cfg.Goals[sp.Class] {
@@ -471,8 +473,8 @@
 		if x.owed != y.owed {
 			return x.owed
 		}
-		if x.j.H.Spec.Prio != y.j.H.Spec.Prio {
-			return x.j.H.Spec.Prio > y.j.H.Spec.Prio
+		if x.j.prio != y.j.prio {
+			return x.j.prio > y.j.prio
 		}
 		if x.tier != y.tier {
 			return x.tier < y.tier
@@ -933,8 +935,10 @@
 		}
 		x := lot{j.H.Spec, map[string]bool{}}
 		home := c.partOf(j, Task{})
-		for i := 0; i < j.H.N && i < 256; i++ {
+		// A job's last task may be far back, and wait in a part that has no machine.
+		for i, seen := 0, 0; i < j.H.N && seen < tuning.StealLook; i++ {
 			if t := j.task(i); t.State == Queued {
+				seen++
 				p := home
 				if t.Part != "" {
 					p = c.partOf(j, t)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -12,10 +12,10 @@
 	"brassglade/internal/tuning"
 )
 
-// ref names a chunk of a job.
+// ref names a cell of a job by its first task.
 type ref struct {
-	job string
-	k   int
+	job  string
+	from int
 }
 
 // draft gathers the changes of one task commit on copies of the records.
@@ -37,29 +37,60 @@
 	notes   []func()
 	used    map[string]Res // bookings of this draft, by machine
 	changed map[TaskID]bool
+	leave   map[string]string // jobs that leave a pack that is too large with their next change, and where to
+	moved   map[string]string // those that did
+	raw     []Put             // cells of a value being cut
 }
 
 func (c *Core) newDraft() *draft {
 	return &draft{
 		c: c, most: c.cfg.TxnOps, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
 		teams: map[string]Team{}, mine: map[string]Res{}, conds: map[string]bool{}, drop: map[string]bool{},
-		machs: map[string]bool{}, used: map[string]Res{}, changed: map[TaskID]bool{},
+		machs: map[string]bool{}, used: map[string]Res{}, changed: map[TaskID]bool{}, moved: map[string]string{}, leave: map[string]string{},
 	}
 }
 
-func (d *draft) ops() int { return len(d.heads) + len(d.keys) + len(d.teams) }
+func (d *draft) ops() int { return len(d.heads) + len(d.keys) + len(d.teams) + len(d.raw) }
+
+// keyOf is where the draft keeps task i of a job.
+func (d *draft) keyOf(j *Job, i int) string {
+	if q, ok := d.moved[j.ID]; ok {
+		return prePack + q
+	}
+	return keyOf(j, i)
+}
+
+// ref of the cell with task i.
+func (j *Job) ref(i int) ref {
+	from, _ := j.cell(i)
+	return ref{j.ID, from}
+}
 
 // room tells whether the change of one more task of j may still go in: one
 // chunk, one header and one team at most. grows: the value may get longer.
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
-	key := keyChunk(j, i/j.H.Chunk)
+	key := keyOf(j, i)
 	if foreign := d.c.foreign(j); foreign && key != d.only {
 		d.c.others[key] = true
 		return false
 	} else if !foreign && d.only != "" {
 		return false
 	}
+	leave := ""
+	if (d.c.fell || grows && d.c.formatOn()) && !j.H.In && d.c.isStuck(key) {
+		// The value can't be written any more, or must not grow. A pack's job leaves
+		// it with this change; a chunk is cut first.
+		ok := false
+		if j.H.Pack != "" {
+			leave, ok = d.target(j)
+		}
+		if !ok {
+			d.c.dirty = true
+			return false
+		}
+		key, header = prePack+leave, true
+	}
 	header = header || j.H.In
 	if !d.keys[key] && !j.H.In {
 		n++
@@ -72,11 +103,34 @@
 	if _, ok := d.teams[j.H.Spec.Team]; !ok {
 		n++
 	}
-	// A pack that is full takes no more bookings until others of it end.
-	if grows && j.H.Pack != "" && d.c.st.sizes[key]+d.add[key]+2*tuning.TaskBytes+len(j.ID) > d.c.cfg.ValueB-tuning.PackSlack {
+	// A value that is full takes no more bookings until others of it end.
+	most := d.c.bound()
+	if d.c.formatOn() {
+		most = d.c.cfg.ValueB
+	}
+	if grows && !j.H.In && d.c.st.sizes[key]+d.add[key]+2*tuning.TaskBytes+len(j.ID) > most-tuning.PackSlack {
+		return false
+	}
+	if n > d.most || b > tuning.TxnBytes || len(d.conds)+6 > 4*d.c.cfg.TxnOps {
 		return false
 	}
-	return n <= d.most && b <= tuning.TxnBytes && len(d.conds)+6 <= 4*d.c.cfg.TxnOps
+	if leave != "" {
+		d.leave[j.ID] = leave
+	}
+	return true
+}
+
+// isStuck asks stuck once a plan.
+func (c *Core) isStuck(key string) bool {
+	if !c.st.large[key] {
+		return false
+	}
+	x, ok := c.stuckNow[key]
+	if !ok {
+		x = c.stuck(key)
+		c.stuckNow[key] = x
+	}
+	return x
 }
 
 // foreign: the value that holds the job's tasks belongs to another part, which
@@ -117,7 +171,7 @@
 	if len(c.avoid) == 0 {
 		return false
 	}
-	k := keyChunk(j, i/j.H.Chunk)
+	k := keyOf(j, i)
 	if till, ok := c.avoid[k]; ok && c.now < till {
 		c.dirty = true
 		return true
@@ -128,24 +182,34 @@
 
 // valueBytes is what a chunk's key may take in a transaction.
 func (c *Core) valueBytes(key string) int {
-	return min(c.cfg.ValueB, c.st.sizes[key]+tuning.ValueGrow)
+	return min(c.bound(), c.st.sizes[key]+tuning.ValueGrow)
 }
 
 func (d *draft) cond(key string) { d.conds[key] = true }
 
 // task returns the copy of task i to change.
 func (d *draft) task(j *Job, i int) *Task {
-	k := i / j.H.Chunk
-	r := ref{j.ID, k}
+	r := j.ref(i)
 	ch := d.chunks[r]
 	if ch == nil {
-		from, to := k*j.H.Chunk, min((k+1)*j.H.Chunk, j.H.N)
-		ch = make([]Task, to-from)
-		if j.Tasks != nil {
-			copy(ch, j.Tasks[from:to])
+		key := keyOf(j, i)
+		if q, ok := d.leave[j.ID]; ok {
+			d.move(j, q)
+		}
+		if ch = d.chunks[r]; ch == nil {
+			from, to := j.cell(i)
+			ch = make([]Task, to-from)
+			if j.Tasks != nil {
+				copy(ch, j.Tasks[from:to])
+			}
+			d.chunks[r] = ch
+		}
+		// While a value is too large, jobs may leave it without a change of its
+		// stamp (move, cut): only their headers show it.
+		if d.c.st.large[key] {
+			d.cond(keyJob(j.ID))
 		}
-		d.chunks[r] = ch
-		key := keyChunk(j, k)
+		key = d.keyOf(j, i)
 		if j.H.In {
 			d.head(j)
 		} else if !d.keys[key] {
@@ -158,7 +222,7 @@
 		}
 	}
 	d.changed[TaskID{j.ID, i}] = true
-	return &ch[i-k*j.H.Chunk]
+	return &ch[i-r.from]
 }
 
 // teamUsed is what counts against a team's limit: what the others have set
@@ -310,7 +374,7 @@
 	}
 	t.Machine, t.Shift, t.Zone = "", 0, ""
 	t.State, t.Part = Queued, ""
-	d.add[keyChunk(j, i/j.H.Chunk)] += tuning.ReleaseBytes
+	d.add[d.keyOf(j, i)] += tuning.ReleaseBytes
 	if !done {
 		return
 	}
@@ -327,8 +391,8 @@
 
 // peek reads task i as the draft has it, without touching its chunk.
 func (d *draft) peek(j *Job, i int) Task {
-	if ch := d.chunks[ref{j.ID, i / j.H.Chunk}]; ch != nil {
-		return ch[i%j.H.Chunk]
+	if r := j.ref(i); d.chunks[r] != nil {
+		return d.chunks[r][i-r.from]
 	}
 	return j.task(i)
 }
@@ -338,15 +402,26 @@
 func (d *draft) finish(j *Job, i int) {
 	t := d.task(j, i)
 	*t = Task{State: Done}
-	for _, o := range d.chunks[ref{j.ID, i / j.H.Chunk}] {
+	cell := d.chunks[j.ref(i)]
+	for _, o := range cell {
 		if o.State != Done {
 			return
 		}
 	}
 	h := d.head(j)
-	h.Chunks++
-	if h.Chunks*h.Chunk >= h.N {
-		h.State, h.Spec = JobDone, nil
+	over := false
+	if h.Sub > 0 {
+		h.Fin += len(cell)
+		over = h.Fin >= h.N
+	} else {
+		h.Chunks++
+		over = h.Chunks*h.Chunk >= h.N
+	}
+	if over {
+		h.State, h.Spec, h.Cut, h.Sub = JobDone, nil, nil, 0
+		if d.c.formatOn() {
+			h.End = d.c.wallMS()
+		}
 		d.drop[j.ID] = true // the header says all there is to know
 	}
 }
@@ -361,6 +436,7 @@
 	if h == nil {
 		cp := *j.H
 		h = &cp
+		d.c.fit(h)
 		d.heads[j.ID] = h
 		d.cond(keyJob(j.ID))
 		d.bytes += tuning.HeaderBytes
@@ -381,7 +457,17 @@
 	// Own values and one of another part's go in turns, never together: any
 	// change of the other part's fails the whole commit, and with several of them
 	// in each a node can lose every time, for minutes.
+	clear(c.stuckNow)
 	d := c.newDraft()
+	if c.splitTurn = !c.splitTurn; c.splitTurn && len(c.st.large) > 0 && (c.formatOn() || c.fell) {
+		c.planSplit(d)
+		if d.ops() > 0 {
+			c.lastOps = d.ops()
+			c.sendPlan(d)
+			return
+		}
+		d = c.newDraft()
+	}
 	if only := c.nextOther(); only != "" && c.otherTurn {
 		d.only, c.lastOther = only, only
 		delete(c.others, only)
@@ -412,9 +498,9 @@
 	// A transaction takes few changes. Each stage leaves some to those after
 	// it: finishes alone, of many jobs, would fill one after the other.
 	c.planHalts(d)
-	d.most = max(4, c.cfg.TxnOps-2)
+	d.most = min(c.cfg.TxnOps, max(4, c.cfg.TxnOps-2))
 	c.planGangs(d)
-	d.most = max(d.ops()+2, c.cfg.TxnOps-c.cfg.TxnOps/4)
+	d.most = min(c.cfg.TxnOps, max(d.ops()+2, c.cfg.TxnOps-c.cfg.TxnOps/4))
 	c.planReleases(d)
 	d.most = c.cfg.TxnOps
 	c.planBookings(d)
@@ -433,6 +519,8 @@
 		c.doomed[k] = true
 	}
 	c.planMach = d.machs
+	c.log(2, "task commit", "headers", len(d.heads), "values", len(d.keys)+len(d.raw), "teams", len(d.teams), "tasks", len(d.changed),
+		"released", len(d.dooms), "conditions", len(t.When), "bytes", txnBytes(t))
 	c.task = c.commit(LaneTask, t, func(r CommitResult, e EvCommit) {
 		c.task = nil
 		c.dirty = true
@@ -509,19 +597,20 @@
 		}
 		jobs := c.st.packs[key[len(prePack):]]
 		for _, id := range slices.Sorted(maps.Keys(jobs)) {
-			if j := jobs[id]; j.Tasks != nil && !d.drop[id] && d.chunks[ref{id, 0}] == nil {
+			if j := jobs[id]; j.Tasks != nil && !d.drop[id] && d.chunks[ref{id, 0}] == nil && d.moved[id] == "" {
 				vals[key].put(id, j.Tasks)
 			}
 		}
 	}
 	refs := slices.SortedFunc(maps.Keys(d.chunks), func(a, b ref) int {
-		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.k, b.k))
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.from, b.from))
 	})
 	for _, r := range refs {
-		if !d.drop[r.job] && !c.st.jobs[r.job].H.In {
-			vals[keyChunk(c.st.jobs[r.job], r.k)].put(r.job, d.chunks[r])
+		if j := c.st.jobs[r.job]; !d.drop[r.job] && !j.H.In {
+			vals[d.keyOf(j, r.from)].put(r.job, d.chunks[r])
 		}
 	}
+	t.Apply = append(t.Apply, d.raw...)
 	for _, key := range slices.Sorted(maps.Keys(d.keys)) {
 		switch {
 		case len(vals[key].J) > 0 || strings.HasPrefix(key, prePack):
@@ -594,8 +683,8 @@
 		if j.nB > 0 || c.partOf(j, Task{}) != c.cfg.Node || j.H.Spec == nil {
 			continue
 		}
-		if foreign := c.foreign(j); foreign && d.only != keyChunk(j, 0) {
-			c.others[keyChunk(j, 0)] = true
+		if foreign := c.foreign(j); foreign && d.only != keyOf(j, 0) {
+			c.others[keyOf(j, 0)] = true
 			continue
 		} else if !foreign && d.only != "" {
 			continue
@@ -604,20 +693,24 @@
 		for r := range d.chunks {
 			touched = touched || r.job == id
 		}
-		chunks := (j.H.N + j.H.Chunk - 1) / j.H.Chunk
+		chunks := j.cells()
 		if touched || d.ops()+1+min(chunks, c.cfg.TxnOps/2) > c.cfg.TxnOps || len(d.conds)+8 > 4*c.cfg.TxnOps {
 			continue
 		}
 		h := d.head(j)
 		d.drop[id] = true
-		for k := 0; k < chunks && d.ops() < c.cfg.TxnOps; k++ {
-			if key := keyChunk(j, k); !j.H.In && c.st.stamps[key] != 0 && !d.keys[key] && j.Tasks != nil {
+		for i := 0; i < j.H.N && d.ops() < c.cfg.TxnOps; i = j.cellEnd(i) {
+			if key := keyOf(j, i); !j.H.In && c.st.stamps[key] != 0 && !d.keys[key] && j.Tasks != nil && !c.isStuck(key) {
 				d.keys[key] = true
-				d.bytes += c.cfg.ValueB
+				d.bytes += c.bound()
 				d.cond(key)
 			}
 		}
-		h.Clean, h.Spec = true, nil
+		if c.st.large[keyOf(j, 0)] {
+			d.cond(keyOf(j, 0))
+		}
+		h.State = JobCancelled
+		h.Clean, h.Spec, h.Cut, h.Sub = true, nil, nil, 0
 	}
 }
 
@@ -712,12 +805,15 @@
 
 // book puts task i of j on a machine within the draft.
 func (d *draft) book(j *Job, i int, m, zone string, shift, attempt uint64) {
+	if !d.c.mayStart(j) {
+		panic("booking " + j.ID + " before what it awaits") // no list of open jobs has it
+	}
 	t := d.task(j, i)
 	d.cond(keyJob(j.ID)) // it may have been cancelled or passed on
 	*t = Task{State: Booked, Attempt: attempt, Machine: m, Shift: shift, Zone: zone, Part: d.c.cfg.Node}
 	d.cond(preMach + d.c.markHome(m))
 	d.machs[m] = true
-	d.add[keyChunk(j, i/j.H.Chunk)] += tuning.TaskBytes
+	d.add[d.keyOf(j, i)] += tuning.TaskBytes
 	d.mine[j.H.Spec.Team] = d.mine[j.H.Spec.Team].Plus(j.H.Spec.Need, 1)
 	d.settleTeam(j.H.Spec.Team, j.H.Spec.Need)
 	d.used[m] = d.used[m].Plus(j.H.Spec.Need, 1)
@@ -755,7 +851,7 @@
 			free := c.free(name, c.flavor(m.Type).Size, d)
 			for _, id := range m.queue {
 				j := c.st.jobs[id.Job]
-				if c.placed[id] != name || j == nil || j.H.State != JobOpen || d.changed[id] ||
+				if c.placed[id] != name || j == nil || j.phase != phaseOpen || d.changed[id] ||
 					j.task(id.I).State != Queued || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 					continue
 				}
@@ -784,8 +880,8 @@
 			if x.o != y.o {
 				return x.o
 			}
-			if x.j.H.Spec.Prio != y.j.H.Spec.Prio {
-				return x.j.H.Spec.Prio > y.j.H.Spec.Prio
+			if x.j.prio != y.j.prio {
+				return x.j.prio > y.j.prio
 			}
 			return x.j.H.Order < y.j.H.Order
 		})
@@ -929,7 +1025,7 @@
 		}
 		t := d.task(j, id.I)
 		d.cond(keyJob(j.ID))
-		d.add[keyChunk(j, id.I/j.H.Chunk)] += tuning.ReleaseBytes
+		d.add[d.keyOf(j, id.I)] += tuning.ReleaseBytes
 		t.Part = to
 		c.unplace(id)
 		d.notes = append(d.notes, func() {
@@ -965,3 +1061,12 @@
 	}
 	r.n++
 }
+
+// txnBytes is what a transaction's values take.
+func txnBytes(t Txn) int {
+	n := 0
+	for _, a := range t.Apply {
+		n += len(a.Value)
+	}
+	return n
+}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -14,6 +14,7 @@
 	KeyRoot    = "b/"
 	keyView    = "b/view"
 	keyFlavors = "b/flavors"
+	preFlavors = "b/flavors/"
 	preMember  = "b/member/"
 	preJob     = "b/job/"
 	prePack    = "b/pack/"
@@ -21,22 +22,61 @@
 	preTeam    = "b/team/"
 	preMach    = "b/mach/"
 	preWindow  = "b/window/"
+	preNeed    = "b/need/"
 )
 
 func keyJob(id string) string { return preJob + id }
 
-// keyChunk is where chunk k of a job is kept: in a value of its own, or in the
-// pack that it shares with other jobs of its part.
-func keyChunk(j *Job, k int) string {
+// keyOf is where task i of a job is kept: in a value of its own chunk, or cell of
+// a chunk, in the pack that the job shares with others of its part, or in the
+// job's header.
+func keyOf(j *Job, i int) string {
 	if j.H.In {
 		return keyJob(j.ID)
 	}
 	if j.H.Pack != "" {
 		return prePack + j.H.Pack
 	}
+	k := i / j.H.Chunk
+	if j.H.wasCut(k) {
+		return keyCell(j.ID, k, (i-k*j.H.Chunk)/j.H.Sub)
+	}
 	return preTask + j.ID + "/" + strconv.Itoa(k)
 }
 
+func keyCell(id string, k, s int) string {
+	return preTask + id + "/" + strconv.Itoa(k) + "/" + strconv.Itoa(s)
+}
+
+func packName(part string, k int) string { return part + "/" + strconv.Itoa(k) }
+
+// cell is the stretch of tasks that share a value with task i.
+func (j *Job) cell(i int) (from, to int) {
+	h := j.H
+	k := i / h.Chunk
+	from, to = k*h.Chunk, min((k+1)*h.Chunk, h.N)
+	if h.wasCut(k) {
+		from += (i - from) / h.Sub * h.Sub
+		to = min(from+h.Sub, to)
+	}
+	return from, to
+}
+
+// cellEnd is where the next cell begins.
+func (j *Job) cellEnd(i int) int {
+	_, to := j.cell(i)
+	return to
+}
+
+// cells is the number of values that hold the job's tasks.
+func (j *Job) cells() int {
+	n := 0
+	for i := 0; i < j.H.N; i = j.cellEnd(i) {
+		n++
+	}
+	return n
+}
+
 // Job is a job in the cache.
 type Job struct {
 	ID     string
@@ -49,7 +89,18 @@
 	hold   int64 // no start before this time (steady, ns): pause after errors
 	late   bool  // beyond all aims, as the last order had it
 	queued int   // tasks now in queues of machines here
-	seenAt int64
+
+	phase  phase
+	bornAt int64 // when it was submitted (steady, ns)
+	seenAt int64 // when it could first start: all that it awaits was done
+	doneAt int64 // when the last job that it awaits was done, as far as known
+	unmet  int   // jobs that it awaits and that are not done
+	lack   int   // pieces of its list that are not here yet
+	lost   bool  // a job that it awaits is cancelled, and so is it
+	// What it is urgent for: itself, or a job that needs it.
+	prio   int
+	dueAt  int64   // when it should be done for the deadline (steady, ns), if dueLen > 0
+	dueLen float64 // the deadline that this comes from, s
 }
 
 // store is the watched cache of the state service. Every change to it goes
@@ -67,11 +118,19 @@
 	marks    map[string]MachineMark
 	pages    map[string]MarkPage        // home -> its page of marks
 	packs    map[string]map[string]*Job // pack -> jobs whose tasks it holds
-	sizes    map[string]int             // bytes of packs
+	sizes    map[string]int             // bytes of packs and chunks
+	large    map[string]bool            // values over the smaller bound
+	format   int                        // that all controllers read
+	formats  map[string]int             // that each announced
+	needed   map[string][]*Job          // job -> those that await it and are not over
+	pieces   map[string]string          // pieces of lists that no header has used yet
+	reading  bool                       // a snapshot: what is in it may be old
 	occ      map[string]occ
 	flavors  []Flavor
-	windows  map[string]*WindowRec
-	byMach   map[string]map[TaskID]bool
+	// by key
+	flavorPages map[string]Flavors
+	windows     map[string]*WindowRec
+	byMach      map[string]map[TaskID]bool
 }
 
 // occ sums up what is booked on a machine, so that nothing has to walk tasks
@@ -96,7 +155,8 @@
 		cleaning: map[string]*Job{}, teams: map[string]Team{}, sums: map[string]map[string]Res{},
 		pages: map[string]MarkPage{}, packs: map[string]map[string]*Job{}, sizes: map[string]int{}, occ: map[string]occ{},
 		marks: map[string]MachineMark{}, windows: map[string]*WindowRec{},
-		byMach: map[string]map[TaskID]bool{},
+		byMach: map[string]map[TaskID]bool{}, large: map[string]bool{}, formats: map[string]int{},
+		needed: map[string][]*Job{}, pieces: map[string]string{}, flavorPages: map[string]Flavors{},
 	}
 }
 
@@ -108,7 +168,11 @@
 	return j.Tasks[i]
 }
 
-func (j *Job) final() bool { return j.H.State != JobOpen }
+// final: nothing will change any more about how the job ended.
+func (j *Job) final() bool { return j.H.State != JobOpen || j.lost }
+
+// cancelled by its user, or for a job that it awaits.
+func (j *Job) cancelled() bool { return j.H.State == JobCancelled || j.lost }
 
 // setTask is the one function that changes a cached task; it keeps the
 // counts and indexes.
@@ -230,12 +294,21 @@
 			return
 		}
 		c.adoptView(v)
-	case kv.Key == keyFlavors:
+	case kv.Key == keyFlavors, strings.HasPrefix(kv.Key, preFlavors):
 		var f Flavors
+		if !del && bad(json.Unmarshal(kv.Value, &f)) {
+			return
+		}
+		c.applyFlavors(kv.Key, f)
+		c.noteSize(kv.Key, len(kv.Value))
+	case kv.Key == keyFormat, strings.HasPrefix(kv.Key, preFormat):
+		var f Format
 		if del || bad(json.Unmarshal(kv.Value, &f)) {
 			return
 		}
-		c.st.flavors = f.F
+		c.applyFormat(kv.Key, f)
+	case strings.HasPrefix(kv.Key, preNeed):
+		c.applyPiece(kv.Key, kv.Value)
 	case strings.HasPrefix(kv.Key, preMember):
 		name := kv.Key[len(preMember):]
 		if del {
@@ -262,7 +335,7 @@
 		if bad(json.Unmarshal(kv.Value, &ch)) {
 			return
 		}
-		c.st.sizes[kv.Key] = len(kv.Value)
+		c.noteSize(kv.Key, len(kv.Value))
 		for id, text := range ch.J {
 			if j := c.st.jobs[id]; j != nil && j.H.Spec != nil && prePack+j.H.Pack == kv.Key {
 				if bad(ch.tasks(text, func(i int, t Task) { c.setTaskAt(j, i, t) })) {
@@ -271,22 +344,26 @@
 			}
 		}
 	case strings.HasPrefix(kv.Key, preTask):
-		id, ks, _ := strings.Cut(kv.Key[len(preTask):], "/")
-		k, err := strconv.Atoi(ks)
-		j := c.st.jobs[id]
-		if err != nil || j == nil || j.H.Spec == nil {
-			return
-		}
+		f := strings.Split(kv.Key[len(preTask):], "/")
+		j := c.st.jobs[f[0]]
 		if del {
 			delete(c.st.sizes, kv.Key)
+			delete(c.st.large, kv.Key)
+			return
+		}
+		if j == nil || j.H.Spec == nil {
 			return
 		}
+		i, ok := j.first(f[1:])
+		if !ok || keyOf(j, i) != kv.Key {
+			return // cut into cells since, or cells that the header doesn't name yet
+		}
 		var ch chunkValue
 		if bad(json.Unmarshal(kv.Value, &ch)) {
 			return
 		}
-		c.st.sizes[kv.Key] = len(kv.Value)
-		if bad(ch.tasks(ch.J[id], func(x int, t Task) { c.setTaskAt(j, k*j.H.Chunk+x, t) })) {
+		c.noteSize(kv.Key, len(kv.Value))
+		if bad(ch.tasks(ch.J[j.ID], func(x int, t Task) { c.setTaskAt(j, i+x, t) })) {
 			return
 		}
 	case strings.HasPrefix(kv.Key, preTeam):
@@ -312,6 +389,21 @@
 	c.dirty = true
 }
 
+// first is the first task of the chunk or cell that the rest of a key names.
+func (j *Job) first(f []string) (int, bool) {
+	if len(f) < 1 || len(f) > 2 || j.H.Chunk < 1 {
+		return 0, false
+	}
+	k, err := strconv.Atoi(f[0])
+	i := k * j.H.Chunk
+	if err == nil && len(f) == 2 && j.H.Sub > 0 {
+		var s int
+		s, err = strconv.Atoi(f[1])
+		i += s * j.H.Sub
+	}
+	return i, err == nil && i >= 0 && i < j.H.N
+}
+
 func (c *Core) setTaskAt(j *Job, i int, t Task) {
 	if i >= 0 && i < j.H.N {
 		c.setTask(j, i, t)
@@ -353,17 +445,20 @@
 
 func (c *Core) applyHeader(id string, h *Header) {
 	j := c.st.jobs[id]
-	if j == nil {
-		j = &Job{ID: id, H: h, nQ: h.N, seenAt: int64(c.now)}
-		c.st.jobs[id] = j
-		if h.State == JobOpen {
-			c.insertOpen(j)
+	fresh := j == nil
+	if fresh {
+		j = &Job{ID: id, H: h, nQ: h.N, bornAt: int64(c.now)}
+		if c.st.reading && h.Born > 0 {
+			j.bornAt = min(j.bornAt, c.steady(h.Born))
 		}
+		c.st.jobs[id] = j
 		c.inPack(j, h.Spec != nil)
 	}
-	wasOpen := j.H.State == JobOpen
 	if h.Spec != nil {
 		h.Spec.ID = id
+		if j.H.Spec != nil && !fresh {
+			h.Spec.Needs = j.H.Spec.Needs
+		}
 	} else if j.H.Spec != nil && (j.nB > 0) {
 		// The final header drops the spec only when nothing is booked; a
 		// chunk older than it may still be in the cache.
@@ -374,7 +469,7 @@
 		}
 	}
 	if h.State == JobOpen && h.Pack != j.H.Pack {
-		c.inPack(j, false) // passed whole: nothing of it was written there
+		c.inPack(j, false) // passed whole, or moved with its tasks
 		j.H = h
 		c.inPack(j, true)
 	}
@@ -384,37 +479,20 @@
 		}
 	}
 	j.H = h
+	if fresh {
+		c.link(j)
+	}
 	if h.T != nil {
 		if err := h.T.tasks(h.T.J[id], func(i int, t Task) { c.setTaskAt(j, i, t) }); err != nil {
 			c.log(0, "unreadable value", "key", keyJob(id), "err", err.Error())
 		}
 	}
-	if h.State == JobOpen {
-		return
-	}
-	if h.Spec == nil {
+	c.settle(j)
+	if j.final() && h.Spec == nil {
 		c.inPack(j, false)
-	}
-	if wasOpen {
-		for k, o := range c.st.open {
-			if o == j {
-				c.st.open = append(c.st.open[:k:k], c.st.open[k+1:]...)
-				break
-			}
-		}
-		for i := 0; i < h.N && j.queued > 0; i++ {
-			c.unplace(TaskID{id, i})
-		}
-	}
-	if h.State == JobCancelled && !h.Clean {
-		c.st.cleaning[id] = j
-	} else {
+		j.Tasks = nil
 		delete(c.st.cleaning, id)
-		if h.Spec == nil {
-			j.Tasks = nil
-		}
 	}
-	c.wakeWaiters()
 }
 
 func (c *Core) insertOpen(j *Job) {
@@ -448,6 +526,7 @@
 	}
 	// A chunk needs its header first, so the view comes last: whoever sees
 	// view e has every change that was conditional on an earlier one.
+	c.st.reading = true
 	for _, kv := range ev.Items {
 		// The pages are read one after the other. What changed after the first
 		// comes with the watch, in order: a chunk taken now without its header
@@ -456,6 +535,7 @@
 			c.apply(kv)
 		}
 	}
+	c.st.reading = false
 	c.st.ledger = max(c.st.ledger, ev.Ledger)
 	c.synced = true
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -64,6 +64,10 @@
 	Ckpt    float64  `json:"ck,omitempty"`
 	Save    float64  `json:"sv,omitempty"`
 	Due     float64  `json:"du,omitempty"`
+	Await   string   `json:"aw,omitempty"` // names of the jobs it awaits, short (needs.go)
+	AwaitAt string   `json:"at,omitempty"` // under which the rest of them is kept
+	AwaitN  int      `json:"an,omitempty"` // in how many pieces
+	Needs   []string `json:"-"`            // as submitted, or as read back
 }
 
 // JobState is the committed state of a job.
@@ -91,8 +95,16 @@
 	Chunks int         `json:"dc,omitempty"` // chunks with every task done
 	Halt   uint64      `json:"h,omitempty"`  // gangs: attempts up to it are to stop, all tasks together
 	Clean  bool        `json:"cl,omitempty"` // cancelled and every booking released
+	Born   int64       `json:"bo,omitempty"` // time of day when it was accepted, ms
+	End    int64       `json:"en,omitempty"` // time of day when it was done, ms
+	Cut    []byte      `json:"cu,omitempty"` // bits: chunks that are kept in several cells
+	Sub    int         `json:"su,omitempty"` // tasks a cell
+	Fin    int         `json:"fi,omitempty"` // once anything is cut: tasks of chunks and cells that are done, in place of Chunks
 }
 
+// wasCut tells whether chunk k is kept in cells.
+func (h *Header) wasCut(k int) bool { return k/8 < len(h.Cut) && h.Cut[k/8]&(1<<(k%8)) != 0 }
+
 // TaskState is the committed state of a task.
 type TaskState int
 
@@ -172,7 +184,8 @@
 
 // Flavors is the value of the flavors key.
 type Flavors struct {
-	F []Flavor `json:"f"`
+	F    []Flavor `json:"f"`
+	More int      `json:"m,omitempty"` // further pages, flavors/1 and so on
 }
 
 // Limits of one team, in thousandths; 0 means none.
@@ -193,11 +206,13 @@
 	Cancel    time.Duration
 	Peer      time.Duration // gang_peer_s
 	Fence     time.Duration // age of a confirmation up to which the node acts
-	ValueB    int
-	TxnOps    int
-	WriteRate float64 // changes a second that this node plans to make; 0: no bound
-	WriteFair float64 // an equal part of the changes a second; WriteRate may be more
-	ReadRate  float64 // requests a second that this node plans to make; 0: no bound
+	ValueB    int           // the smallest that a value's bound is or will be: what is written stays within it
+	ValueNow  int           // the bound of today, for what the version before wrote; 0: ValueB
+	TxnOps    int           // the smallest that a transaction's bound is or will be
+	Wall      int64         // time of day when the node's steady clock was 0, ms; orders and ages only
+	WriteRate float64       // changes a second that this node plans to make; 0: no bound
+	WriteFair float64       // an equal part of the changes a second; WriteRate may be more
+	ReadRate  float64       // requests a second that this node plans to make; 0: no bound
 	ListLag   time.Duration
 	Seed      uint64
 	Wait      map[string]float64   // class -> seconds within which its tasks should start
@@ -206,6 +221,7 @@
 	Dues      []float64            // multiples of a deadline that count
 	Spare     int                  // machines kept warm for such a class; operators may change it
 	DropGuard string               // tests only: a guard taken away
+	AsBefore  bool                 // tests only: never announces the format, as the version before
 	Learn     bool
 }
 
@@ -330,6 +346,7 @@
 	EvCommit struct {
 		ID     uint64
 		Result CommitResult
+		Bad    bool // refused as malformed: too large, or on a grant that is over
 		Ledger uint64
 		Failed []string
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -316,8 +316,17 @@
 			over[m] = true
 		}
 	}
-	for m, o := range v.Over {
-		if next.Zoned {
+	// The view must stay under the size of a value, or it could never change
+	// again: overrides have room up to a bound, and machines beyond it wait. Those
+	// of a view written under larger limits are dropped beyond it: any node may own
+	// a machine after a change of epoch.
+	most := max(8, (c.cfg.ValueB-tuning.ViewBytes)/tuning.OverBytes)
+	if len(v.Over) > most && (c.formatOn() || c.fell) {
+		changed, overOnly = true, false
+	}
+	for _, m := range slices.Sorted(maps.Keys(v.Over)) {
+		o := v.Over[m]
+		if next.Zoned || len(next.Over) >= most {
 			break
 		}
 		if c.wide() && c.now-c.overAt[m] > tuning.OverKeep {
@@ -327,9 +336,6 @@
 			next.Over[m] = o
 		}
 	}
-	// The view must stay under the size of a value, or it could never change
-	// again: overrides have room up to a bound, and machines beyond it wait.
-	most := max(8, (c.cfg.ValueB-tuning.ViewBytes)/tuning.OverBytes)
 	for _, m := range slices.Sorted(maps.Keys(over)) {
 		if _, was := next.Over[m]; !was && len(next.Over) >= most {
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,11 +64,14 @@
 	}
 	debug.SetGCPercent(tuning.GCPercent)
 	share := s.Share()
+	rps, writeRps, _, _ := s.Least()
+	start, set := time.Now(), s.Core(op, tuning.Seed)
+	set.Wall = start.UnixMilli()
 	n := &Node{
-		start: time.Now(), core: core.New(s.Core(op, tuning.Seed), inc), self: s.Member,
+		start: start, core: core.New(set, inc), self: s.Member,
 		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
 		workers: make(chan ask, tuning.WorkerQueue), waiting: map[uint64]chan core.Effect{},
-		state:  state.New(s.External.State, s.Params.State.Rps*share, s.Params.State.WriteRps*s.WriteShare()),
+		state:  state.New(s.External.State, rps*share, writeRps*s.WriteShare()),
 		cloud:  cloud.New(s.External.Cloud, s.Params.Cloud.Rps*tuning.BudgetShare),
 		links:  map[string]*peer.Link{},
 		direct: make(chan struct{}, tuning.DirectAtOnce), workCon: map[string]*wire.Client{},
--- /dev/null
+++ b/internal/standin/pipe_test.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// pipelines appends random pipelines to a day: chains, diamonds and fans, some
+// cancelled at their root or midway, some whose last job comes late.
+func pipelines(b *strings.Builder, r *rand.Rand, from, count int) {
+	for p := 0; p < count; p++ {
+		at, id := from+r.IntN(120), 1000*(p+1)
+		team := []string{"red", "blue"}[r.IntN(2)]
+		name := func(k int) string { return fmt.Sprintf("job-%06d", id+k) }
+		job := func(k, at int, shape string, needs ...int) {
+			var l []string
+			for _, n := range needs {
+				l = append(l, name(n))
+			}
+			n, extra := 1+r.IntN(4), "spot"
+			if shape == "gang" {
+				n, extra = 2, "onezone ckpt=5"
+			}
+			if len(l) > 0 {
+				extra += " awaits=" + strings.Join(l, ",")
+			}
+			fmt.Fprintf(b, "at %d submit %s %s %d %s run=%d gpu=%d due=90 %s\n", at, name(k), shape, n, team, 4+r.IntN(12), r.IntN(2), extra)
+		}
+		last := 3
+		job(0, at, "array")
+		switch r.IntN(3) {
+		case 0: // a chain with a gang
+			job(1, at, "array", 0)
+			job(2, at, "gang", 1)
+			job(3, at, "array", 2)
+		case 1: // a diamond
+			job(1, at, "array", 0)
+			job(2, at, "gang", 0)
+			job(3, at+r.IntN(2)*40, "array", 1, 2, 1)
+		case 2: // a fan
+			last = 5
+			for k := 1; k < 5; k++ {
+				job(k, at, "array", 0)
+			}
+			job(5, at, "array", 1, 2, 3, 4, 0)
+		}
+		if r.IntN(3) == 0 {
+			fmt.Fprintf(b, "at %d cancel %s\n", at+r.IntN(30), name(r.IntN(last)))
+		}
+	}
+}
+
+// upgradeDay makes a random day that begins with the version before. The
+// controllers are replaced one by one amid troubles, one of them perhaps after it
+// ended and came back as it was; then the limits fall.
+func upgradeDay(seed uint64, drop string) string {
+	r := rand.New(rand.NewPCG(seed, 17))
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d\nold\nnext value=1024 ops=4\n", seed)
+	if drop != "" {
+		fmt.Fprintf(&b, "drop %s\n", drop)
+	}
+	big, cpu := 60, 1
+	if seed%2 == 0 { // a wider fleet, whose packs grow large
+		b.WriteString("fill 40\n")
+		big, cpu = 250, 8
+	}
+	for i := 0; i < 26; i++ {
+		at, id := 1+r.IntN(200), fmt.Sprintf("job-%06d", 100+i)
+		n := 1 + r.IntN(8)
+		if i%5 == 0 {
+			n = big + r.IntN(160) // fills packs, or has chunks of its own
+		}
+		if r.IntN(4) == 0 {
+			fmt.Fprintf(&b, "at %d submit %s gang %d blue run=%d gpu=1 ckpt=10\n", at, id, 1+r.IntN(3), 10+r.IntN(30))
+		} else {
+			fmt.Fprintf(&b, "at %d submit %s array %d blue run=%d gpu=0 cpu=%d spot\n", at, id, n, 5+r.IntN(40), cpu)
+		}
+	}
+	for i, n := range r.Perm(3) {
+		at := 60 + 14*i + r.IntN(6)
+		fmt.Fprintf(&b, "at %d upgrade c-%d back=%.1f\n", at, n, []float64{0.2, 4}[r.IntN(2)])
+		if r.IntN(2) == 0 { // the next one ends before its turn
+			fmt.Fprintf(&b, "at %d crash c-%d back=%.1f\n", at+5, r.IntN(3), []float64{0.2, 3}[r.IntN(2)])
+		}
+	}
+	mode := func() string { return []string{"drop", "hold"}[r.IntN(2)] }
+	for i := 0; i < 4; i++ {
+		at, n := 50+r.IntN(120), fmt.Sprintf("c-%d", r.IntN(3))
+		switch r.IntN(7) {
+		case 0:
+			fmt.Fprintf(&b, "at %d state down for=%d\n", at, 3+r.IntN(40))
+		case 1:
+			fmt.Fprintf(&b, "at %d crash all back=3\n", at)
+		case 2:
+			fmt.Fprintf(&b, "at %d cut %s state %s for=%d\n", at, n, mode(), 5+r.IntN(40))
+		case 3:
+			fmt.Fprintf(&b, "at %d cut %s * %s for=%d\n", at, n, mode(), 5+r.IntN(40))
+		case 4:
+			fmt.Fprintf(&b, "at %d take n-%06d\n", at, 1+r.IntN(10))
+		case 5:
+			fmt.Fprintf(&b, "at %d crash %s back=0.2\n", at, n)
+		case 6:
+			fmt.Fprintf(&b, "at %d state refuse %s for=%d\n", at, n, 5+r.IntN(30))
+		}
+	}
+	fmt.Fprintf(&b, "at %d limits\n", 110+r.IntN(60))
+	pipelines(&b, r, 110, 8)
+	b.WriteString("until 900\n")
+	return b.String()
+}
+
+// TestRandomUpgrades plays days on which the version before is replaced amid
+// troubles, the limits fall, and pipelines come.
+func TestRandomUpgrades(t *testing.T) {
+	refused, smaller := 0, 0
+	for seed := uint64(1); seed <= 9; seed++ {
+		w, err := Play(upgradeDay(seed, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
+		}
+		refused, smaller = refused+w.st.tooLarge, smaller+w.smaller
+		if w.st.tooLarge > 12 {
+			t.Errorf("seed %d: %d transactions were refused as too large", seed, w.st.tooLarge)
+		}
+		if w.st.kv["b/format"].v == nil {
+			t.Errorf("seed %d: the format was never turned on", seed)
+		}
+	}
+	if smaller < 4 {
+		t.Errorf("only %d values had to be made smaller", smaller)
+	}
+	t.Logf("%d values made smaller, %d transactions refused as too large in all", smaller, refused)
+}
+
+// TestRandomPipelines: pipelines on days of overlapping troubles.
+func TestRandomPipelines(t *testing.T) {
+	for seed := uint64(201); seed <= 208; seed++ {
+		var b strings.Builder
+		pipelines(&b, rand.New(rand.NewPCG(seed, 5)), 5, 14)
+		w, err := Play(day(seed, "") + b.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -337,6 +337,9 @@
 		}
 		return
 	}
+	if !k.w.allDone(j) {
+		k.w.broke("too_early", "%s/%d on %s before what it awaits is done", id.Job, id.I, k.name)
+	}
 	t := &task{attempt: o.Attempt, state: core.SeenFetching}
 	k.tasks[id] = t
 	var used core.Res
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -130,7 +130,7 @@
 		}
 	case st == 400:
 		slog.Error("state service refuses a transaction", "answer", string(out))
-		ev.Result = core.Refused
+		ev.Result, ev.Bad = core.Refused, true
 	case st == 429 || st == 503:
 		ev.Result = core.Refused
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -138,6 +138,16 @@
 	// it, in tasks. Below, each booking changes the team's key.
 	SlackShare = 4
 	SlackTasks = 16
+	// ChunkBytes is what a task of a job with chunks of its own is planned for:
+	// most share a machine with others. Bookings wait where a chunk is full.
+	ChunkBytes = 16
+	// NameBytes bounds names that users choose freely and headers carry.
+	NameBytes = 200
+	// NeedsInHeader is the longest text of awaited names that a header carries;
+	// longer lists lie beside it.
+	NeedsInHeader = 300
+	// FormatRetry is the pause before an announcement of the format is tried again.
+	FormatRetry = 500 * time.Millisecond
 	// HeaderBytes is the room kept for a job header's fixed part.
 	HeaderBytes = 3000
 )
@@ -268,6 +278,9 @@
 	// parts: jobs looked at, and machines that ask.
 	StealLots = 32
 	StealMost = 8
+	// StealLook bounds the queued tasks of one job looked at for the parts that
+	// have them.
+	StealLook = 256
 	// WideFleet is the number of machines heard of above which jobs are passed
 	// and stolen whole. HopsMost bounds how often one is, StealAfter is how
 	// long it stays where it was sent before others may ask for it.
