A shorter text of tasks, full values relieved, and a look-up for named jobs

With values of 2 KiB packs were full long before their jobs had begun: 40 jobs waited beside 400 GPUs that were free. A submission that names jobs asked for a read index (p95 0.4 s); it now asks for what the cache lacks.

--- a/internal/core/chunk.go
+++ b/internal/core/chunk.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,11 +22,66 @@
 //
 // Items are separated by semicolons; z and p are places in D; s and a are left
 // out when both are 1.
+//
+// Since values became smaller there is a shorter form, V 2: a count of one is left
+// out, nothing stands between runs, and bookings are grouped by what they share:
+//
+//	?5!3*4?            five queued, three done, four booked, one queued
+//	/z,p,s,a|231:8-10.12|232:9   on the machines P+"231" and P+"232"
+//
+// P is what all machine names begin with. The text is about half as long.
 type chunkValue struct {
+	V int               `json:"v,omitempty"`
+	P string            `json:"p,omitempty"`
 	D []string          `json:"d,omitempty"`
 	J map[string]string `json:"j"`
 }
 
+// chunkOf makes the value of some jobs' tasks, in the form that all controllers
+// read.
+func (c *Core) chunkOf(jobs map[string][]Task) *chunkValue {
+	v := &chunkValue{J: map[string]string{}}
+	if c.formatOn() {
+		v.V, v.P = 2, prefixOf(jobs)
+	}
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
+		v.put(id, jobs[id])
+	}
+	return v
+}
+
+// textBytes is what a job's tasks take in a value.
+func (c *Core) textBytes(j *Job) int {
+	if j.Tasks == nil {
+		return 0
+	}
+	return len(c.chunkOf(map[string][]Task{j.ID: j.Tasks}).J[j.ID])
+}
+
+// prefixOf is what all machine names in the texts begin with, without digits from
+// 1 to 9: it shrinks seldom as machines come and go.
+func prefixOf(jobs map[string][]Task) string {
+	p, any := "", false
+	for _, ts := range jobs {
+		for i := range ts {
+			m := ts[i].Machine
+			if ts[i].State != Booked {
+				continue
+			}
+			if !any {
+				p, any = m[:strings.IndexAny(m+"1", "123456789")], true
+				if p == m && p != "" {
+					p = p[:len(p)-1]
+				}
+			}
+			for !strings.HasPrefix(m, p) || m == p {
+				p = p[:len(p)-1]
+			}
+		}
+	}
+	return p
+}
+
 func (v *chunkValue) name(s string) string {
 	i := slices.Index(v.D, s)
 	if i < 0 {
@@ -35,8 +91,83 @@
 	return strconv.Itoa(i)
 }
 
+// ranges writes task numbers: 8-10.12.
+func ranges(b *strings.Builder, l []int) {
+	for k := 0; k < len(l); {
+		m := 1
+		for k+m < len(l) && l[k+m] == l[k]+m {
+			m++
+		}
+		if k > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(strconv.Itoa(l[k]))
+		if m > 1 {
+			b.WriteString("-" + strconv.Itoa(l[k+m-1]))
+		}
+		k += m
+	}
+}
+
+// put2 adds a job's tasks in the shorter form.
+func (v *chunkValue) put2(id string, ts []Task) {
+	var b strings.Builder
+	type kind struct {
+		zone, part     string
+		shift, attempt uint64
+	}
+	var kinds []kind
+	machines := map[kind][]string{}
+	tasks := map[kind]map[string][]int{}
+	for i := 0; i < len(ts); {
+		t, n := ts[i], 1
+		for i+n < len(ts) && (ts[i+n] == t || ts[i+n].State == Booked && t.State == Booked) {
+			n++
+		}
+		b.WriteByte("?*!"[t.State])
+		if n > 1 {
+			b.WriteString(strconv.Itoa(n))
+		}
+		if t.State == Queued && (t.Attempt > 0 || t.Part != "") {
+			b.WriteString("," + strconv.FormatUint(t.Attempt, 10) + "," + v.name(t.Part))
+		}
+		for ; n > 0; n-- {
+			if x := ts[i]; x.State == Booked {
+				k := kind{x.Zone, x.Part, x.Shift, x.Attempt}
+				if tasks[k] == nil {
+					kinds, tasks[k] = append(kinds, k), map[string][]int{}
+				}
+				if tasks[k][x.Machine] == nil {
+					machines[k] = append(machines[k], x.Machine)
+				}
+				tasks[k][x.Machine] = append(tasks[k][x.Machine], i)
+			}
+			i++
+		}
+	}
+	slices.SortFunc(kinds, func(x, y kind) int {
+		return cmp.Or(cmp.Compare(x.zone, y.zone), cmp.Compare(x.part, y.part), cmp.Compare(x.shift, y.shift), cmp.Compare(x.attempt, y.attempt))
+	})
+	for _, k := range kinds {
+		b.WriteString("/" + v.name(k.zone) + "," + v.name(k.part))
+		if k.shift != 1 || k.attempt != 1 {
+			b.WriteString("," + strconv.FormatUint(k.shift, 10) + "," + strconv.FormatUint(k.attempt, 10))
+		}
+		slices.Sort(machines[k])
+		for _, m := range machines[k] {
+			b.WriteString("|" + strings.TrimPrefix(m, v.P) + ":")
+			ranges(&b, tasks[k][m])
+		}
+	}
+	v.J[id] = b.String()
+}
+
 // put adds a job's tasks.
 func (v *chunkValue) put(id string, ts []Task) {
+	if v.V == 2 {
+		v.put2(id, ts)
+		return
+	}
 	var b strings.Builder
 	var booked []int
 	alike := func(x, y Task) bool { return x == y || x.State == Booked && y.State == Booked }
@@ -79,17 +210,8 @@
 		if t.Shift != 1 || t.Attempt != 1 {
 			b.WriteString("," + strconv.FormatUint(t.Shift, 10) + "," + strconv.FormatUint(t.Attempt, 10))
 		}
-		for k := 0; k < n; {
-			m := 1
-			for k+m < n && booked[i+k+m] == booked[i+k]+m {
-				m++
-			}
-			b.WriteString(map[bool]string{true: ":", false: "."}[k == 0] + strconv.Itoa(booked[i+k]))
-			if m > 1 {
-				b.WriteString("-" + strconv.Itoa(booked[i+k+m-1]))
-			}
-			k += m
-		}
+		b.WriteByte(':')
+		ranges(&b, booked[i:i+n])
 		i += n
 	}
 	v.J[id] = b.String()
@@ -116,6 +238,85 @@
 		}
 		return v.D[x]
 	}
+	// list reads task numbers.
+	list := func(l string, t Task) bool {
+		for _, r := range strings.Split(l, ".") {
+			from, to, more := strings.Cut(r, "-")
+			x := num(from)
+			y := x
+			if more {
+				y = num(to)
+			}
+			if !ok || y < x || y > chunkMost {
+				return false
+			}
+			for ; x <= y; x++ {
+				take(int(x), t)
+			}
+		}
+		return true
+	}
+	if v.V == 2 {
+		runs, groups, any := strings.Cut(text, "/")
+		i := 0
+		for len(runs) > 0 {
+			end := strings.IndexAny(runs[1:], "?*!") + 1
+			if end == 0 {
+				end = len(runs)
+			}
+			f := strings.Split(runs[1:end], ",")
+			t, n := Task{}, uint64(1)
+			if f[0] != "" {
+				n = num(f[0])
+			}
+			switch runs[0] {
+			case '?':
+				if len(f) == 3 {
+					t.Attempt, t.Part = num(f[1]), ref(f[2])
+				}
+			case '!':
+				t.State = Done
+			case '*':
+				t.State = Booked // named below
+			default:
+				return errChunk
+			}
+			if !ok || n > chunkMost || len(f) != 1 && (len(f) != 3 || t.State != Queued) {
+				return errChunk
+			}
+			for ; n > 0; n-- {
+				if t.State != Booked {
+					take(i, t)
+				}
+				i++
+			}
+			runs = runs[end:]
+		}
+		if i == 0 {
+			return errChunk
+		}
+		for _, g := range strings.Split(groups, "/") {
+			if !any {
+				break
+			}
+			ms := strings.Split(g, "|")
+			f := strings.Split(ms[0], ",")
+			if len(f) != 2 && len(f) != 4 {
+				return errChunk
+			}
+			t := Task{State: Booked, Zone: ref(f[0]), Part: ref(f[1]), Shift: 1, Attempt: 1}
+			if len(f) == 4 {
+				t.Shift, t.Attempt = num(f[2]), num(f[3])
+			}
+			for _, m := range ms[1:] {
+				name, l, _ := strings.Cut(m, ":")
+				if t.Machine = v.P + name; !ok || !list(l, t) {
+					return errChunk
+				}
+			}
+		}
+		return nil
+	}
 	runs, groups, any := strings.Cut(text, "|")
 	i := 0
 	for _, item := range strings.Split(runs, ";") {
@@ -151,7 +352,7 @@
 		return nil
 	}
 	for _, item := range strings.Split(groups, ";") {
-		head, list, _ := strings.Cut(item, ":")
+		head, l, _ := strings.Cut(item, ":")
 		f := strings.Split(head, ",")
 		if len(f) != 3 && len(f) != 5 {
 			return errChunk
@@ -160,19 +361,8 @@
 		if len(f) == 5 {
 			t.Shift, t.Attempt = num(f[3]), num(f[4])
 		}
-		for _, r := range strings.Split(list, ".") {
-			from, to, more := strings.Cut(r, "-")
-			x := num(from)
-			y := x
-			if more {
-				y = num(to)
-			}
-			if !ok || y < x || y > chunkMost {
-				return errChunk
-			}
-			for ; x <= y; x++ {
-				take(int(x), t)
-			}
+		if !list(l, t) {
+			return errChunk
 		}
 	}
 	return nil
--- a/internal/core/chunk_test.go
+++ b/internal/core/chunk_test.go
@@ -26,8 +26,9 @@
 				ts[i] = Task{State: Booked, Machine: "n-000007", Shift: uint64(1 + r.IntN(3)), Attempt: uint64(1 + r.IntN(2)), Zone: "b", Part: "c-2"}
 			}
 		}
-		v := chunkValue{J: map[string]string{}}
-		v.put("job-000001", ts)
+		c := New(Settings{}, "x")
+		c.st.format = 1 + round%2
+		v := c.chunkOf(map[string][]Task{"job-000001": ts})
 		var back chunkValue
 		if err := json.Unmarshal(enc(v), &back); err != nil {
 			t.Fatal(err)
@@ -40,6 +41,12 @@
 			t.Fatalf("%q:\n got %v\nwant %v", v.J, got, ts)
 		}
 	}
+	for _, bad := range []string{"", "x", "5", "?,1", "?1,a,0", "?*!1,2,0", "*/", "*/0", "*/0,9|1:0", "*/0,0|1:", "*/0,0|1:5-3", "!99999999999"} {
+		v := chunkValue{V: 2, D: []string{"a"}}
+		if v.tasks(bad, func(int, Task) {}) == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
 	for _, bad := range []string{"", "x", "?", "?1,2", "?1,a,0", "*1|n", "*1|n,0,9:0", "!99999999999", "?1;;!2"} {
 		v := chunkValue{D: []string{"a"}}
 		if v.tasks(bad, func(int, Task) {}) == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,7 +74,8 @@
 	// users
 	waiters  []waiter
 	subs     map[string]bool
-	nextNeed int // lists of awaited jobs kept in pieces so far
+	reads    map[uint64]EvSubmit // submissions that wait for a read
+	nextNeed int                 // lists of awaited jobs kept in pieces so far
 
 	// formats and sizes
 	formatBusy bool
@@ -82,6 +83,7 @@
 	fell       bool          // a refusal showed that values must be smaller now
 	splitTurn  bool          // the next commit brings a value to its new size
 	stuckNow   map[string]bool
+	full       map[string]bool // values that had no room for a booking
 
 	// view
 	proposing bool
@@ -174,7 +176,7 @@
 	c := &Core{
 		cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Node))),
 		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1, invAt: -1, meanAt: -1, waitAt: -1, metAt: -1,
-		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{},
+		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{}, reads: map[uint64]EvSubmit{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
 		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
 		held: map[string]*heldCheckin{}, touched: map[string]bool{}, peers: map[string]*peerView{},
@@ -183,7 +185,7 @@
 		booked: map[TaskID]bookInfo{}, lowered: map[string]Res{}, stayed: map[TaskID]bool{},
 	}
 	c.bounced, c.moves, c.wantMark = map[string]bounceMark{}, map[string]move{}, map[string]MachineMark{}
-	c.others, c.stuckNow = map[string]bool{}, map[string]bool{}
+	c.others, c.stuckNow, c.full = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	c.zoneOut = map[string]time.Duration{}
 	c.rate, c.tokens = cfg.WriteRate, cfg.WriteRate
 	c.cfg.ValueNow = max(cfg.ValueNow, cfg.ValueB)
@@ -219,6 +221,8 @@
 		c.onConfirm(e)
 	case EvCommit:
 		c.onCommit(e)
+	case EvRead:
+		c.onRead(e)
 	case EvGrant:
 		c.onGrant(e)
 	case EvRenew:
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -133,13 +133,13 @@
 	if !strings.HasPrefix(key, prePack) {
 		return true
 	}
-	v := chunkValue{J: map[string]string{}}
+	live := map[string][]Task{}
 	for id, j := range c.st.packs[key[len(prePack):]] {
 		if j.Tasks != nil {
-			v.put(id, j.Tasks)
+			live[id] = j.Tasks
 		}
 	}
-	return len(enc(v)) > c.cfg.ValueB-tuning.PackSlack
+	return len(enc(c.chunkOf(live))) > c.cfg.ValueB-tuning.PackSlack
 }
 
 // packPart is the part that cares for a pack.
@@ -156,7 +156,17 @@
 // that fits no pack, and a chunk, is cut into cells. Every such transaction fits
 // the smaller limits, so it goes on when they have fallen.
 func (c *Core) planSplit(d *draft) {
-	for _, key := range slices.Sorted(maps.Keys(c.st.large)) {
+	// A value that had no room for a booking is relieved the same way, but written
+	// again in the same commit, since others may go on changing it.
+	keys := slices.Sorted(maps.Keys(c.st.large))
+	for _, key := range slices.Sorted(maps.Keys(c.full)) {
+		if !c.st.large[key] {
+			keys = append(keys, key)
+		}
+	}
+	defer clear(c.full)
+	for _, key := range keys {
+		full := !c.st.large[key]
 		if till, ok := c.avoid[key]; ok && c.now < till {
 			continue
 		}
@@ -176,7 +186,7 @@
 			continue
 		}
 		jobs := c.st.packs[key[len(prePack):]]
-		if !c.stuck(key) {
+		if !full && !c.stuck(key) {
 			d.keys[key] = true // written again without what left it
 			d.cond(key)
 			return
@@ -184,9 +194,7 @@
 		text := map[string]int{}
 		for id, j := range jobs {
 			if j.Tasks != nil {
-				v := chunkValue{J: map[string]string{}}
-				v.put(id, j.Tasks)
-				text[id] = len(v.J[id])
+				text[id] = c.textBytes(j)
 			}
 		}
 		ids := slices.SortedFunc(maps.Keys(text), func(a, b string) int {
@@ -195,21 +203,42 @@
 			}
 			return strings.Compare(a, b)
 		})
+		if full {
+			if len(ids) > 1 {
+				ids = ids[:1]
+			}
+			if c.st.sizes[key] < c.cfg.ValueB/2 {
+				continue // it has room again
+			}
+			d.keys[key] = true
+			d.cond(key)
+		}
 		for _, id := range ids {
 			j := jobs[id]
+			if full && len(jobs) < 2 {
+				if delete(d.keys, key); c.cut(d, j, 0) {
+					return
+				}
+				continue
+			}
 			if q, ok := d.target(j); ok {
 				if d.ops()+d.moveOps(j, q) > c.cfg.TxnOps || len(d.conds)+4 > 4*c.cfg.TxnOps {
 					return
 				}
 				d.move(j, q)
-				d.notes = append(d.notes, func() { c.log(1, "value made smaller", "key", key, "job", id, "to", q) })
+				level := 1
+				if full {
+					level = 2
+				}
+				d.notes = append(d.notes, func() { c.log(level, "value made smaller", "key", key, "job", id, "to", q) })
 			} else if d.ops() == 0 && c.cut(d, j, 0) {
 				return
 			}
 		}
-		if d.ops() > 0 {
+		if len(d.heads) > 0 {
 			return
 		}
+		delete(d.keys, key)
 	}
 }
 
@@ -219,11 +248,7 @@
 		return q, true
 	}
 	c := d.c
-	v := chunkValue{J: map[string]string{}}
-	if j.Tasks != nil {
-		v.put(j.ID, j.Tasks)
-	}
-	need := len(v.J[j.ID]) + len(j.ID) + 3*tuning.TaskBytes
+	need := c.textBytes(j) + len(j.ID) + 3*tuning.TaskBytes
 	if need > c.cfg.ValueB-2*tuning.PackSlack {
 		return "", false // it would take a whole pack, and soon not fit that
 	}
@@ -274,9 +299,7 @@
 		d.bytes += d.c.valueBytes(key)
 		d.cond(key)
 	}
-	v := chunkValue{J: map[string]string{}}
-	v.put(j.ID, j.Tasks)
-	d.add[key] += len(v.J[j.ID]) + len(j.ID) + 8
+	d.add[key] += d.c.textBytes(j) + len(j.ID) + 8
 	d.chunks[ref{j.ID, 0}] = slices.Clone(j.Tasks)
 }
 
@@ -321,9 +344,7 @@
 	for s := 0; s < n; s++ {
 		a, b := from+s*sub, min(from+(s+1)*sub, to)
 		next.Fin += done(j.Tasks[a:b])
-		v := chunkValue{J: map[string]string{}}
-		v.put(j.ID, j.Tasks[a:b])
-		cells = append(cells, cell{keyCell(j.ID, k, s), enc(v)})
+		cells = append(cells, cell{keyCell(j.ID, k, s), enc(c.chunkOf(map[string][]Task{j.ID: j.Tasks[a:b]}))})
 	}
 	d.cond(source)
 	d.cond(keyJob(j.ID))
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -118,7 +118,7 @@
 		case w.submit.Spec == nil:
 			c.emit(EfUser{Req: w.req, Status: 400, ID: w.id, Reason: w.why})
 		case w.why == "":
-			c.accept(*w.submit)
+			c.accept(*w.submit, nil)
 		default:
 			c.emit(EfUser{Req: w.req, Status: 422, ID: w.id, Reason: w.why})
 		}
@@ -229,8 +229,7 @@
 			c.later(e.Req, "not all controllers know Awaits yet")
 			return
 		}
-		// Another node may have accepted a moment ago what this one names.
-		c.wait(waiter{req: e.Req, id: e.ID, submit: &e})
+		c.lookUp(e)
 		return
 	}
 	if c.subs[e.ID] {
@@ -329,7 +328,11 @@
 // room for all of them booked. Two nodes may fill one at the same time; then
 // some bookings wait until others end (draft.room).
 func (c *Core) packFor(sp *Spec, part string) (string, bool) {
-	cost := func(n int) int { return tuning.TaskBytes + n*tuning.BookedBytes }
+	each := tuning.BookedBytes
+	if c.formatOn() {
+		each = tuning.BookedBytesShort
+	}
+	cost := func(n int) int { return tuning.TaskBytes + n*each }
 	most := c.cfg.ValueB * tuning.PackPercent / 100
 	if whole(sp) || cost(sp.N) > most {
 		return "", false
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -281,9 +281,54 @@
 	c.joinTo(j, ids)
 }
 
-// accept takes a submission whose read index was reached: everything accepted
-// before it came is in the cache.
-func (c *Core) accept(e EvSubmit) {
+// lookUp finds the jobs that a submission names. What the cache has was accepted;
+// what it lacks another node may have accepted a moment ago, so the state service
+// is asked for those, if they are few. Only a read index shows that a job was never
+// accepted: by then everything accepted before the submission came is in the cache.
+func (c *Core) lookUp(e EvSubmit) {
+	var keys []string
+	for _, id := range e.Spec.Needs {
+		if c.st.jobs[id] == nil && !slices.Contains(keys, keyJob(id)) {
+			if keys = append(keys, keyJob(id)); len(keys) > tuning.LookUps {
+				c.wait(waiter{req: e.Req, id: e.ID, submit: &e})
+				return
+			}
+		}
+	}
+	if len(keys) == 0 {
+		c.accept(e, nil)
+		return
+	}
+	c.nextID++
+	c.reads[c.nextID] = e
+	c.emit(EfRead{c.nextID, keys})
+}
+
+func (c *Core) onRead(ev EvRead) {
+	e, ok := c.reads[ev.ID]
+	if !ok {
+		return
+	}
+	delete(c.reads, ev.ID)
+	found := map[string]*Header{}
+	for _, kv := range ev.Items {
+		h := &Header{}
+		if json.Unmarshal(kv.Value, h) == nil {
+			found[strings.TrimPrefix(kv.Key, preJob)] = h
+		}
+	}
+	for _, id := range e.Spec.Needs {
+		if c.st.jobs[id] == nil && found[id] == nil {
+			c.wait(waiter{req: e.Req, id: e.ID, submit: &e})
+			return
+		}
+	}
+	c.accept(e, found)
+}
+
+// accept takes a submission that names jobs; found are those that the cache may
+// lack, as the state service had them a moment ago.
+func (c *Core) accept(e EvSubmit, found map[string]*Header) {
 	refuse := func(why string) { c.emit(EfUser{Req: e.Req, Status: 422, ID: e.ID, Reason: why}) }
 	sp := *e.Spec
 	ids := slices.Clone(sp.Needs)
@@ -293,6 +338,9 @@
 	state := JobOpen
 	for _, id := range ids {
 		n := c.st.jobs[id]
+		if h := found[id]; n == nil && h != nil {
+			n = &Job{ID: id, H: h}
+		}
 		switch {
 		case n == nil:
 			refuse("awaits a job that was never accepted")
@@ -306,10 +354,6 @@
 			open = append(open, id)
 		}
 	}
-	if why := c.never(&sp); why != "" {
-		refuse(why)
-		return
-	}
 	if !c.ready() {
 		c.later(e.Req, "not ready")
 		return
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -109,6 +109,7 @@
 		most = d.c.cfg.ValueB
 	}
 	if grows && !j.H.In && d.c.st.sizes[key]+d.add[key]+2*tuning.TaskBytes+len(j.ID) > most-tuning.PackSlack {
+		d.c.full[key] = true
 		return false
 	}
 	if n > d.most || b > tuning.TxnBytes || len(d.conds)+6 > 4*d.c.cfg.TxnOps {
@@ -459,7 +460,7 @@
 	// in each a node can lose every time, for minutes.
 	clear(c.stuckNow)
 	d := c.newDraft()
-	if c.splitTurn = !c.splitTurn; c.splitTurn && len(c.st.large) > 0 && (c.formatOn() || c.fell) {
+	if c.splitTurn = !c.splitTurn; c.splitTurn && len(c.st.large)+len(c.full) > 0 && (c.formatOn() || c.fell) {
 		c.planSplit(d)
 		if d.ops() > 0 {
 			c.lastOps = d.ops()
@@ -582,23 +583,22 @@
 					ts = j.Tasks
 				}
 				if ts != nil {
-					h.T = &chunkValue{J: map[string]string{}}
-					h.T.put(id, ts)
+					h.T = c.chunkOf(map[string][]Task{id: ts})
 				}
 			}
 		}
 		t.Apply = append(t.Apply, Put{Key: keyJob(id), Value: enc(h)})
 	}
-	vals := map[string]*chunkValue{}
+	vals := map[string]map[string][]Task{}
 	for key := range d.keys {
-		vals[key] = &chunkValue{J: map[string]string{}}
+		vals[key] = map[string][]Task{}
 		if !strings.HasPrefix(key, prePack) {
 			continue
 		}
 		jobs := c.st.packs[key[len(prePack):]]
 		for _, id := range slices.Sorted(maps.Keys(jobs)) {
 			if j := jobs[id]; j.Tasks != nil && !d.drop[id] && d.chunks[ref{id, 0}] == nil && d.moved[id] == "" {
-				vals[key].put(id, j.Tasks)
+				vals[key][id] = j.Tasks
 			}
 		}
 	}
@@ -607,14 +607,14 @@
 	})
 	for _, r := range refs {
 		if j := c.st.jobs[r.job]; !d.drop[r.job] && !j.H.In {
-			vals[d.keyOf(j, r.from)].put(r.job, d.chunks[r])
+			vals[d.keyOf(j, r.from)][r.job] = d.chunks[r]
 		}
 	}
 	t.Apply = append(t.Apply, d.raw...)
 	for _, key := range slices.Sorted(maps.Keys(d.keys)) {
 		switch {
-		case len(vals[key].J) > 0 || strings.HasPrefix(key, prePack):
-			t.Apply = append(t.Apply, Put{Key: key, Value: enc(vals[key])})
+		case len(vals[key]) > 0 || strings.HasPrefix(key, prePack):
+			t.Apply = append(t.Apply, Put{Key: key, Value: enc(c.chunkOf(vals[key]))})
 		case c.st.stamps[key] != 0:
 			t.Apply = append(t.Apply, Put{Key: key})
 		}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -350,6 +350,12 @@
 		Ledger uint64
 		Failed []string
 	}
+	// EvRead answers EfRead: the items that exist.
+	EvRead struct {
+		ID    uint64
+		OK    bool
+		Items []KV
+	}
 	// EvGrant answers EfGrant.
 	EvGrant struct {
 		OK     bool
@@ -473,6 +479,11 @@
 		Lane int
 		T    Txn
 	}
+	// EfRead reads a few keys from the state service itself.
+	EfRead struct {
+		ID   uint64
+		Keys []string
+	}
 	// EfGrant asks for a grant.
 	EfGrant struct{ Life time.Duration }
 	// EfRenew renews it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,6 +203,8 @@
 		n.send(func() core.Event { return n.state.Confirm(x) })
 	case core.EfCommit:
 		n.send(func() core.Event { return n.state.Commit(x) })
+	case core.EfRead:
+		n.send(func() core.Event { return n.state.Read(x) })
 	case core.EfGrant:
 		n.send(func() core.Event { return n.state.Grant(x) })
 	case core.EfRenew:
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -171,6 +171,19 @@
 	return ev
 }
 
+func (s *service) read(node string, e core.EfRead) any {
+	if s.off(node) {
+		return core.EvRead{ID: e.ID}
+	}
+	ev := core.EvRead{ID: e.ID, OK: true}
+	for _, k := range e.Keys {
+		if x, ok := s.kv[k]; ok {
+			ev.Items = append(ev.Items, core.KV{Key: k, Value: x.v, Stamp: x.stamp})
+		}
+	}
+	return ev
+}
+
 func (s *service) grant(node string, life time.Duration) any {
 	if s.off(node) {
 		return core.EvGrant{}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -368,6 +368,14 @@
 			}
 			back(ev)
 		})
+	case core.EfRead:
+		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.read(n.name, x)) }, func(r any) {
+			ev, ok := r.(core.EvRead)
+			if !ok {
+				ev = core.EvRead{ID: x.ID}
+			}
+			back(ev)
+		})
 	case core.EfGrant:
 		w.call(n.name, "state", tuning.StateTimeout, func(r func(any)) { r(w.st.grant(n.name, x.Life)) }, func(r any) {
 			ev, _ := r.(core.EvGrant)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -140,6 +140,24 @@
 	return ev
 }
 
+// Read reads a few keys.
+func (c *Client) Read(e core.EfRead) core.EvRead {
+	ev := core.EvRead{ID: e.ID, OK: true}
+	for _, key := range e.Keys {
+		c.b.Wait(core.LaneUser, 0)
+		st, out, err := c.w.Do("GET", "/kv/"+key, nil, tuning.StateTimeout)
+		var i item
+		switch {
+		case err == nil && st == 404:
+		case err == nil && st == 200 && json.Unmarshal(out, &i) == nil:
+			ev.Items = append(ev.Items, core.KV{Key: key, Value: bytes.Clone(i.V), Stamp: i.Stamp})
+		default:
+			return core.EvRead{ID: e.ID}
+		}
+	}
+	return ev
+}
+
 // Grant asks for a grant.
 func (c *Client) Grant(e core.EfGrant) core.EvGrant {
 	c.b.Wait(core.LaneView, 0)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -118,6 +118,8 @@
 	// sessions and attempts; BookedBytes is what it usually takes.
 	TaskBytes   = 28
 	BookedBytes = 9
+	// BookedBytesShort is the same in the shorter form.
+	BookedBytesShort = 6
 	// InHeader is the most tasks of a job placed whole that its header holds.
 	InHeader = 16
 	// ReleaseBytes is the most by which a release lengthens a chunk: it splits
@@ -146,6 +148,9 @@
 	// NeedsInHeader is the longest text of awaited names that a header carries;
 	// longer lists lie beside it.
 	NeedsInHeader = 300
+	// LookUps is the most awaited jobs that are asked of the state service one by
+	// one when a submission names them and the cache lacks them.
+	LookUps = 4
 	// FormatRetry is the pause before an announcement of the format is tried again.
 	FormatRetry = 500 * time.Millisecond
 	// HeaderBytes is the room kept for a job header's fixed part.
