The leader gets a larger part of the changes; tests of awaiting

Cause: bracket-0 led, wrote gangs and marks with an equal part of 18 changes a second, and its own part's jobs waited up to 7 minutes beside free machines; all 20 slowest balancedump jobs were in its part. Ruled out: full values (relieved before), conflicts (11 of 2,409 commits).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 	formatBusy bool
 	formatAt   time.Duration // no announcement before
 	fell       bool          // a refusal showed that values must be smaller now
+	led        bool          // rate is that of a leader
 	splitTurn  bool          // the next commit brings a value to its new size
 	stuckNow   map[string]bool
 	full       map[string]bool // values that had no room for a booking
@@ -201,7 +202,12 @@
 	c.out = c.out[:0:0]
 	c.Work.Events++
 	dt := (c.now - c.tokenAt).Seconds()
-	c.rate = min(c.cfg.WriteRate, c.rate+dt*tuning.RateRegain*c.cfg.WriteRate)
+	most := c.cfg.WriteRate * c.weight()
+	if c.led != c.isLeader() {
+		c.led = !c.led
+		c.rate = most
+	}
+	c.rate = min(most, c.rate+dt*tuning.RateRegain*most)
 	c.tokens = min(c.rate, c.tokens+dt*c.rate)
 	c.tokenAt = c.now
 	switch e := ev.(type) {
@@ -254,6 +260,21 @@
 	return c.out
 }
 
+// weight is this node's part of the changes a second, compared with an equal one.
+// In a wide fleet the leader writes gangs and marks besides its own part; with an
+// equal part of the changes its own jobs waited for minutes beside machines that
+// were free, and looked like those with most room.
+func (c *Core) weight() float64 {
+	n := float64(len(c.cfg.Nodes))
+	if n < 3 || c.st.view == nil || !c.wide() {
+		return 1
+	}
+	if c.isLeader() {
+		return tuning.LeaderWeight
+	}
+	return (n - tuning.LeaderWeight) / (n - 1)
+}
+
 // drive does what is due now, whatever the event was.
 func (c *Core) drive() {
 	c.driveGrant()
@@ -477,7 +498,7 @@
 		if e.Bad {
 			c.noteRefusal(p.t)
 		}
-		c.tokens = min(c.cfg.WriteRate, c.tokens+float64(len(p.t.Apply)))
+		c.tokens = min(c.cfg.WriteRate*c.weight(), c.tokens+float64(len(p.t.Apply)))
 	}
 	p.done(e.Result, e)
 }
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -90,7 +90,7 @@
 		// Order and ages count from the last job before it; after a restart from
 		// the times that the headers tell.
 		j.seenAt = int64(c.now)
-		if c.st.reading && old == phaseNew {
+		if c.st.reading {
 			j.seenAt = max(j.bornAt, j.doneAt)
 		}
 		c.insertOpen(j)
--- /dev/null
+++ b/internal/core/needs_test.go
@@ -0,0 +1,315 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// open is the value of a new job's header.
+func openHeader(t *testing.T, id string, order uint64, prio int, due float64, needs ...string) KV {
+	t.Helper()
+	h := Header{State: JobOpen, N: 2, Chunk: 2, Pack: "c-0/0", Part: "c-0", Order: order,
+		Spec: &Spec{Class: "c", Team: "red", Shape: Array, Prio: prio, N: 2, Est: 10, Due: due}}
+	if l := texts(needs, 1<<20); len(l) > 0 {
+		h.Spec.Await = l[0]
+	}
+	return KV{Key: keyJob(id), Value: enc(h), Stamp: order}
+}
+
+func overHeader(id string, s JobState, stamp uint64) KV {
+	return KV{Key: keyJob(id), Value: enc(Header{State: s, N: 2, Clean: s == JobCancelled}), Stamp: stamp}
+}
+
+func jobName(i int) string { return fmt.Sprintf("job-%06d", i) }
+
+func openIDs(c *Core) []string {
+	var l []string
+	for _, j := range c.st.open {
+		l = append(l, j.ID)
+	}
+	return l
+}
+
+// TestNeedsInAnyOrder: whatever order headers arrive in, as in a snapshot's pages,
+// the same jobs may start and the same are cancelled.
+func TestNeedsInAnyOrder(t *testing.T) {
+	// 0 is done; 1 and 2 await it; 3 awaits 1 and 2; 4 awaits 3 and 6; 5 awaits 4;
+	// 6 is cancelled; 7 awaits nothing.
+	kvs := []KV{
+		overHeader(jobName(0), JobDone, 20), openHeader(t, jobName(1), 11, 1, 0, jobName(0)), openHeader(t, jobName(2), 12, 1, 0, jobName(0)),
+		openHeader(t, jobName(3), 13, 1, 0, jobName(1), jobName(2)), openHeader(t, jobName(4), 14, 1, 0, jobName(3), jobName(6)),
+		openHeader(t, jobName(5), 15, 1, 0, jobName(4)), overHeader(jobName(6), JobCancelled, 21), openHeader(t, jobName(7), 17, 1, 0),
+	}
+	r := rand.New(rand.NewPCG(3, 4))
+	for round := 0; round < 50; round++ {
+		r.Shuffle(len(kvs), func(a, b int) { kvs[a], kvs[b] = kvs[b], kvs[a] })
+		c := New(Settings{Node: "c-0"}, "x")
+		for _, kv := range kvs {
+			c.apply(kv)
+		}
+		if got := openIDs(c); !slices.Equal(got, []string{jobName(1), jobName(2), jobName(7)}) {
+			t.Fatalf("may start: %v", got)
+		}
+		for i, want := range map[int]bool{3: false, 4: true, 5: true, 7: false} {
+			if j := c.st.jobs[jobName(i)]; j.cancelled() != want || j.final() != want {
+				t.Fatalf("job %d: cancelled %v", i, j.cancelled())
+			}
+		}
+		c.apply(overHeader(jobName(1), JobDone, 30))
+		if j := c.st.jobs[jobName(3)]; j.phase != phaseWaiting {
+			t.Fatal("starts before all that it awaits is done")
+		}
+		c.apply(overHeader(jobName(2), JobDone, 31))
+		if got := openIDs(c); !slices.Equal(got, []string{jobName(3), jobName(7)}) {
+			t.Fatalf("may start: %v", got)
+		}
+	}
+}
+
+// TestLongPipelines: users' graphs may be as long and as wide as they like. The
+// cancellation of the root of a chain of 50,000 reaches its end, and each job of a
+// fan of 2,000 is looked at a few times, not once for each pair.
+func TestLongPipelines(t *testing.T) {
+	c := New(Settings{Node: "c-0"}, "x")
+	const n = 50000
+	c.apply(openHeader(t, jobName(0), 1, 0, 0))
+	for i := 1; i < n; i++ {
+		c.apply(openHeader(t, jobName(i), uint64(i+1), 0, 0, jobName(i-1)))
+	}
+	if len(c.st.open) != 1 {
+		t.Fatalf("%d may start", len(c.st.open))
+	}
+	c.apply(overHeader(jobName(0), JobCancelled, n+10))
+	if j := c.st.jobs[jobName(n-1)]; !j.cancelled() || len(c.st.needed) != 0 {
+		t.Errorf("the last job is in phase %d, %d edges left", j.phase, len(c.st.needed))
+	}
+	c = New(Settings{Node: "c-0"}, "x")
+	var all []string
+	for i := 0; i < 2000; i++ {
+		c.apply(openHeader(t, jobName(i), uint64(i+1), 0, 0))
+		all = append(all, jobName(i))
+	}
+	c.apply(openHeader(t, jobName(9999), 3000, 2, 100, all...))
+	for i, id := range all {
+		if c.st.jobs[id].prio != 2 {
+			t.Fatal("priority not passed back")
+		}
+		if got := c.st.jobs[jobName(9999)].phase; got != phaseWaiting {
+			t.Fatalf("phase %d with %d done", got, i)
+		}
+		c.apply(overHeader(id, JobDone, uint64(4000+i)))
+	}
+	if c.st.jobs[jobName(9999)].phase != phaseOpen {
+		t.Error("the fan never opens")
+	}
+}
+
+// TestUrgencyPassesBack: all stages have the priority of the last one, and each a
+// deadline that leaves time for those after it, on the longest path.
+func TestUrgencyPassesBack(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		c := New(Settings{Node: "c-0"}, "x")
+		kvs := []KV{
+			openHeader(t, jobName(1), 1, 0, 0), openHeader(t, jobName(2), 2, 0, 0, jobName(1)), openHeader(t, jobName(3), 3, 1, 0, jobName(1)),
+			openHeader(t, jobName(4), 4, 0, 0, jobName(3)), openHeader(t, jobName(5), 5, 2, 100, jobName(2), jobName(4)),
+		}
+		if lateFirst {
+			slices.Reverse(kvs)
+		}
+		for _, kv := range kvs {
+			c.apply(kv)
+		}
+		due := func(i int) float64 { return time.Duration(c.st.jobs[jobName(i)].dueAt).Seconds() }
+		for i, want := range map[int]float64{5: 100, 4: 82, 2: 82, 3: 64, 1: 46} { // each stage takes 10 s and 8 s
+			if j := c.st.jobs[jobName(i)]; j.prio != 2 || due(i) != want || j.dueLen != 100 {
+				t.Errorf("job %d: priority %d, due %.0f s, want %.0f s", i, j.prio, due(i), want)
+			}
+		}
+	}
+}
+
+// TestAgesSurviveRestarts: a node that reads a snapshot orders jobs as the others
+// do, by the times that the headers tell.
+func TestAgesSurviveRestarts(t *testing.T) {
+	wall := int64(1_700_000_000_000)
+	h := Header{State: JobOpen, N: 1, Chunk: 1, Order: 2, Born: wall - 90_000, Spec: &Spec{Class: "c", Shape: Array, N: 1, Due: 100, Await: "000001"}}
+	c := New(Settings{Node: "c-0", Wall: wall}, "x")
+	c.now = 2 * time.Second
+	c.snapshot(EvSnapshot{Ledger: 9, Items: []KV{
+		{Key: keyJob(jobName(1)), Value: enc(Header{State: JobDone, N: 1, End: wall - 30_000}), Stamp: 5},
+		{Key: keyJob(jobName(2)), Value: enc(h), Stamp: 3},
+	}})
+	j := c.st.jobs[jobName(2)]
+	if age := (c.now - time.Duration(j.seenAt)).Seconds(); age != 32 {
+		t.Errorf("it could start %.0f s ago, want 32 s", age)
+	}
+	if left := time.Duration(j.dueAt - int64(c.now)).Seconds(); left != 8 {
+		t.Errorf("%.0f s are left, want 8 s", left)
+	}
+}
+
+// acting is a node that may act, with one machine type.
+func acting() *Core {
+	c := New(Settings{Node: "c-0", Nodes: []string{"c-0"}, ValueB: 2048, TxnOps: 4, Fence: 7 * time.Second,
+		Teams: map[string]Limits{"red": {}}}, "x")
+	c.now, c.synced, c.stateOK = time.Minute, true, true
+	c.st.members = map[string]string{"c-0": "x"}
+	c.st.view = &View{Epoch: 1, Leader: "c-0", Members: c.st.members, Serving: []string{"c-0"}}
+	c.st.flavors = []Flavor{{Name: "box", Size: Res{CPU: 16000}, Zones: []string{"a"}}}
+	c.fenceAt, c.grantAt, c.readAt, c.st.format, c.st.ledger = c.now, c.now, c.now-1, formatNow, 100
+	return c
+}
+
+// said returns the last answer to a user.
+func said(c *Core) (u EfUser) {
+	for _, e := range c.out {
+		if x, ok := e.(EfUser); ok {
+			u = x
+		}
+	}
+	return u
+}
+
+func submission(id string, needs ...string) EvSubmit {
+	return EvSubmit{Req: 1, ID: id, Spec: &Spec{ID: id, Class: "c", Team: "red", Shape: Array, N: 1, Need: Res{CPU: 1000}, Needs: needs}}
+}
+
+// commitAll carries out what the core wants committed, until nothing is left.
+func commitAll(t *testing.T, c *Core) (keys []string) {
+	t.Helper()
+	for len(c.commits) > 0 {
+		for _, id := range []uint64{c.nextID} {
+			p := c.commits[id]
+			if p == nil {
+				t.Fatal("an older commit is still under way")
+			}
+			if len(p.t.Apply) > c.cfg.TxnOps || len(p.t.When) > 4*c.cfg.TxnOps {
+				t.Fatalf("%d changes, %d conditions", len(p.t.Apply), len(p.t.When))
+			}
+			for _, a := range p.t.Apply {
+				if len(a.Value) > c.cfg.ValueB {
+					t.Fatalf("%s has %d bytes", a.Key, len(a.Value))
+				}
+				keys = append(keys, a.Key)
+			}
+			c.st.ledger++
+			c.onCommit(EvCommit{ID: id, Result: Committed, Ledger: c.st.ledger})
+		}
+	}
+	return keys
+}
+
+// TestThousandsAwaited: a submission may name thousands of jobs. The list lies in
+// pieces beside the header, which comes last; another node that reads them in any
+// order knows the same jobs, and a job none of whose pieces is there yet waits.
+func TestThousandsAwaited(t *testing.T) {
+	c := acting()
+	var needs []string
+	for i := 0; i < 4000; i++ {
+		c.apply(openHeader(t, jobName(i), uint64(i+200), 0, 0))
+		needs = append(needs, jobName(i))
+	}
+	c.st.ledger = 5000
+	e := submission("job-999999", append(needs, needs...)...) // duplicates count once
+	c.out = nil
+	c.onSubmit(e)
+	keys := commitAll(t, c)
+	if len(keys) < 10 || keys[len(keys)-1] != "b/job/job-999999" || said(c).Status != 201 {
+		t.Fatalf("%d keys written, %+v", len(keys), said(c))
+	}
+	j := c.st.jobs["job-999999"]
+	if j.unmet != 4000 || j.phase != phaseWaiting || len(c.st.pieces) != 0 {
+		t.Fatalf("%d jobs awaited, phase %d, %d pieces left", j.unmet, j.phase, len(c.st.pieces))
+	}
+	// Another node, the header first.
+	o := New(Settings{Node: "c-1"}, "y")
+	o.apply(KV{Key: keyJob(j.ID), Value: enc(j.H), Stamp: 9000})
+	if o.st.jobs[j.ID].phase != phaseWaiting {
+		t.Fatal("starts without its list")
+	}
+	for k, text := range texts(needs, c.cfg.ValueB-400) {
+		o.apply(KV{Key: keyPiece(j.ID, j.H.Spec.AwaitAt, k), Value: enc(text), Stamp: uint64(8000 + k)})
+	}
+	if o.st.jobs[j.ID].unmet != 4000 {
+		t.Fatalf("the other node knows of %d", o.st.jobs[j.ID].unmet)
+	}
+	for i, id := range needs {
+		if o.st.jobs[j.ID].phase != phaseWaiting {
+			t.Fatalf("starts with %d of 4000 done", i)
+		}
+		o.apply(overHeader(id, JobDone, uint64(10000+i)))
+	}
+	if o.st.jobs[j.ID].phase != phaseOpen {
+		t.Error("never opens")
+	}
+}
+
+// TestWhatMayBeAwaited: what the answer to a submission is, and from which
+// knowledge.
+func TestWhatMayBeAwaited(t *testing.T) {
+	service := openHeader(t, jobName(3), 8, 0, 0)
+	service.Value = []byte(strings.Replace(string(service.Value), `"array"`, `"service"`, 1))
+	for name, x := range map[string]struct {
+		needs  []string
+		status int
+		open   bool
+	}{
+		"a done one":              {[]string{jobName(1)}, 201, true},
+		"a waiting one, twice":    {[]string{jobName(2), jobName(2)}, 201, false},
+		"a service":               {[]string{jobName(3)}, 422, false},
+		"one never accepted":      {[]string{jobName(8)}, 422, false},
+		"itself":                  {[]string{jobName(9)}, 422, false},
+		"a cancelled one":         {[]string{jobName(2), jobName(4)}, 201, false},
+		"one accepted elsewhere":  {[]string{jobName(5)}, 201, false},
+		"nothing but known names": {nil, 201, true},
+	} {
+		c := acting()
+		for _, kv := range []KV{overHeader(jobName(1), JobDone, 5), openHeader(t, jobName(2), 6, 0, 0), service, overHeader(jobName(4), JobCancelled, 9)} {
+			c.apply(kv)
+		}
+		c.out = nil
+		c.onSubmit(submission(jobName(9), x.needs...))
+		for id := range c.reads { // the state service has what the cache lacks
+			elsewhere := openHeader(t, jobName(5), 90, 0, 0)
+			c.onRead(EvRead{ID: id, OK: true, Items: []KV{elsewhere}})
+		}
+		if len(c.waiters) > 0 && said(c).Status != 0 {
+			t.Errorf("%s: answered %d before its read index", name, said(c).Status)
+		}
+		c.readAt = c.now
+		c.wakeWaiters()
+		commitAll(t, c)
+		if u := said(c); u.Status != x.status {
+			t.Errorf("%s: %+v", name, u)
+		}
+		if got := slices.Contains(openIDs(c), jobName(9)); got != x.open {
+			t.Errorf("%s: may start %v", name, got)
+		}
+		if j := c.st.jobs[jobName(9)]; name == "a cancelled one" && (j == nil || !j.cancelled()) {
+			t.Error("accepted, but not cancelled")
+		}
+		// A repeat gets 200 whatever it names now.
+		if x.status == 201 {
+			c.out = nil
+			c.onSubmit(submission(jobName(9), jobName(8)))
+			c.readAt = c.now
+			c.wakeWaiters()
+			if u := said(c); u.Status != 200 {
+				t.Errorf("%s: a repeat gets %d", name, u.Status)
+			}
+		}
+	}
+	// Before all controllers know what awaiting is.
+	c := acting()
+	c.st.format = 0
+	c.apply(overHeader(jobName(1), JobDone, 5))
+	c.out = nil
+	c.onSubmit(submission(jobName(9), jobName(1)))
+	if u := said(c); u.Status != 503 {
+		t.Errorf("before the switch: %+v", u)
+	}
+}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -548,7 +548,7 @@
 			// All nodes together want more than the state service takes, and it
 			// refuses users' submissions as well: each goes back towards its part.
 			if r == Refused && c.stateOK {
-				c.rate = max(min(c.cfg.WriteFair, c.rate), c.rate*tuning.RateCut)
+				c.rate = max(min(c.cfg.WriteFair*c.weight(), c.rate), c.rate*tuning.RateCut)
 			}
 			c.blocked = c.now + tuning.RefusedLeast + time.Duration(c.rng.Int64N(int64(tuning.RefusedSpread)))
 			if r == Unknown {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -451,6 +451,7 @@
 		if c.st.reading && h.Born > 0 {
 			j.bornAt = min(j.bornAt, c.steady(h.Born))
 		}
+		j.doneAt = j.bornAt
 		c.st.jobs[id] = j
 		c.inPack(j, h.Spec != nil)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 		start: start, core: core.New(set, inc), self: s.Member,
 		events: make(chan core.Event, tuning.WorkerQueue), users: make(chan ask, tuning.UserQueue),
 		workers: make(chan ask, tuning.WorkerQueue), waiting: map[uint64]chan core.Effect{},
-		state:  state.New(s.External.State, rps*share, writeRps*s.WriteShare()),
+		state:  state.New(s.External.State, rps*share, writeRps*min(1, s.WriteShare()*tuning.LeaderWeight)),
 		cloud:  cloud.New(s.External.Cloud, s.Params.Cloud.Rps*tuning.BudgetShare),
 		links:  map[string]*peer.Link{},
 		direct: make(chan struct{}, tuning.DirectAtOnce), workCon: map[string]*wire.Client{},
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -113,6 +113,11 @@
 		return core.EvCommit{ID: e.ID, Result: core.Refused}
 	}
 	st, out, err := c.w.Do("POST", "/commit", body, tuning.StateTimeout)
+	for n := 0; n < tuning.ThrottledTries && e.Lane == core.LaneUser && err == nil && st == 429; n++ {
+		time.Sleep(tuning.ThrottledPause)
+		c.b.Wait(e.Lane, 0)
+		st, out, err = c.w.Do("POST", "/commit", body, tuning.StateTimeout)
+	}
 	ev := core.EvCommit{ID: e.ID, Result: core.Unknown}
 	var r committed
 	switch {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,6 +100,14 @@
 	// an equal part, and RateRegain the part of its full rate that it gains a second.
 	RateCut    = 0.85
 	RateRegain = 0.01
+	// LeaderWeight is the leader's part of the changes in wide fleets, in equal
+	// parts: gangs and marks take about as many as its own part.
+	LeaderWeight = 1.7
+	// ThrottledTries and ThrottledPause: a user's change that the state service
+	// throttled (429) is sent again after a moment; a change's worth of credit comes
+	// back there sooner than that.
+	ThrottledTries = 2
+	ThrottledPause = 60 * time.Millisecond
 	// LanesAhead lanes (views, users) may run up AheadSeconds of debt in
 	// changes; the state service's own bursts cover that.
 	LanesAhead   = 2
