Urgent small tasks don't wait behind large ones; arrays spread over parts; tests of sizes

Causes, from the logs of both rollouts: a catpublish task that fitted waited 34 s in a machine's queue behind a drawscan task that didn't; all nodes sent all small jobs to the part with the least load, which then had too few changes a second to book them (bracket-1: 260 commits in 250 s, the others 350 to 700); the last tasks of arrays of 100 to 200 waited 85 to 98 s in one part while 45% of all GPUs were idle.

--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -291,3 +291,57 @@
 		t.Errorf("%g changes a second a minute later", c.rate)
 	}
 }
+
+// TestLargeArraysAreSpread: in a wide fleet an array for which no part has room goes
+// to several, a chunk each, so that its last tasks don't wait in one part beside
+// idle machines of others. Small ones, and those that fit, stay whole.
+func TestLargeArraysAreSpread(t *testing.T) {
+	c := wideCore()
+	c.st.format = formatNow
+	c.cfg.ValueB, c.cfg.TxnOps = 2048, 4
+	sp := func(n int) *Spec {
+		return &Spec{ID: jobName(n), Class: "c", Team: "red", Shape: Array, N: n, Need: Res{CPU: 16000}, Spot: true}
+	}
+	for _, p := range c.peers {
+		for i := range p.machines {
+			p.machines[i].Type = "box"
+		}
+	}
+	c.invAt = -1
+	if h := c.header(sp(200)); len(h.Parts) > 0 {
+		t.Errorf("spread over %v though one part has room", h.Parts)
+	}
+	// Of each part's machines all but thirty are taken.
+	left := map[string]int{}
+	for _, m := range c.inventory() {
+		if left[m.owner]++; left[m.owner] > 30 {
+			c.st.occ[m.name] = occ{used: Res{CPU: 16000}}
+		}
+	}
+	if h := c.header(sp(50)); len(h.Parts) > 0 {
+		t.Errorf("a small one is spread over %v", h.Parts)
+	}
+	h := c.header(sp(200))
+	if len(h.Parts) != 4 || h.Chunk != 50 || h.Pack != "" {
+		t.Fatalf("header %+v", h)
+	}
+	c.apply(KV{Key: keyJob(jobName(200)), Value: enc(h), Stamp: 10})
+	j, parts := c.st.jobs[jobName(200)], map[string]int{}
+	for i := 0; i < 200; i++ {
+		parts[c.partOf(j, i, Task{})]++
+	}
+	if len(parts) != 4 || c.hereQueued(j) != 50 || movable(j) {
+		t.Errorf("tasks by part %v, here %d", parts, c.hereQueued(j))
+	}
+	if keyOf(j, 49) == keyOf(j, 50) || c.foreign(j, 0) == c.foreign(j, 199) && parts["c-0"] == 50 && c.homeOf(j, 0) == "c-0" {
+		t.Error("chunks share a value, or belong to one part")
+	}
+	v := *c.st.view
+	v.Epoch, v.Serving = 4, []string{"c-0", "c-1"}
+	c.adoptView(&v)
+	for i := 0; i < 200; i++ {
+		if p := c.partOf(j, i, Task{}); p != "c-0" && p != "c-1" {
+			t.Fatalf("task %d belongs to %s, which is gone", i, p)
+		}
+	}
+}
--- a/internal/core/chunk_test.go
+++ b/internal/core/chunk_test.go
@@ -1,11 +1,14 @@
 package core
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"reflect"
 	"testing"
 
 	json "github.com/goccy/go-json"
+
+	"brassglade/internal/tuning"
 )
 
 // TestChunkText: what is written is read back, for any mix of states, and a
@@ -54,3 +57,39 @@
 		}
 	}
 }
+
+// TestChunksStayWritable: bookings wait while a value is full, and whatever ends and
+// is booked again in whatever order, the value never outgrows its bound.
+func TestChunksStayWritable(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	for round := 0; round < 40; round++ {
+		c := acting()
+		n := (c.cfg.ValueB - tuning.PackSlack) / tuning.ChunkBytes
+		id := jobName(1)
+		c.apply(KV{Key: keyJob(id), Value: enc(Header{State: JobOpen, N: n, Chunk: n, Part: "c-0", Order: 3,
+			Spec: &Spec{Class: "c", Team: "red", Shape: Array, N: n}}), Stamp: 3})
+		j, most := c.st.jobs[id], 0
+		for step := uint64(10); step < 300; step++ {
+			d := c.newDraft()
+			for k := 0; k < 8; k++ {
+				i := r.IntN(n)
+				switch {
+				case d.changed[TaskID{id, i}]:
+				case j.task(i).State == Queued && d.room(j, i, false, true):
+					d.book(j, i, fmt.Sprintf("n-%06d", 1+r.IntN(1+round*40)), "ab"[round%2:round%2+1], 1+step%3, j.task(i).Attempt+1)
+				case j.task(i).State == Booked && r.IntN(2) == 0 && d.room(j, i, false, false):
+					d.release(j, i, false)
+				}
+			}
+			for _, p := range d.txn().Apply {
+				if most = max(most, len(p.Value)); len(p.Value) > c.cfg.ValueB {
+					t.Fatalf("round %d: %s has %d bytes", round, p.Key, len(p.Value))
+				}
+				c.apply(KV{Key: p.Key, Value: p.Value, Stamp: step})
+			}
+		}
+		if most < 300 {
+			t.Fatalf("round %d: hardly anything was booked", round)
+		}
+	}
+}
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -173,13 +173,18 @@
 		if strings.HasPrefix(key, preTask) {
 			id, _, _ := strings.Cut(key[len(preTask):], "/")
 			j := c.st.jobs[id]
-			if j != nil && j.H.Spec != nil && c.partOf(j, Task{}) == c.cfg.Node {
+			cut := true // or over
+			if j != nil && j.H.Spec != nil {
 				for i := 0; i < j.H.N; i = j.cellEnd(i) {
-					if keyOf(j, i) == key && c.cut(d, j, i) {
+					cut = cut && keyOf(j, i) != key
+					if keyOf(j, i) == key && c.homeOf(j, i) == c.cfg.Node && c.cut(d, j, i) {
 						return
 					}
 				}
 			}
+			if cut {
+				delete(c.st.large, key)
+			}
 			continue
 		}
 		if !strings.HasPrefix(key, prePack) || c.packPart(key[len(prePack):]) != c.cfg.Node {
@@ -216,7 +221,7 @@
 		for _, id := range ids {
 			j := jobs[id]
 			if full && len(jobs) < 2 {
-				if delete(d.keys, key); c.cut(d, j, 0) {
+				if d.keys, d.conds = map[string]bool{}, map[string]bool{}; c.cut(d, j, 0) {
 					return
 				}
 				continue
@@ -348,15 +353,26 @@
 	}
 	d.cond(source)
 	d.cond(keyJob(j.ID))
+	// A value that is not too large may be changed under the same stamp by who
+	// doesn't look at the header: it goes, or is written without the job.
+	room, last := c.cfg.TxnOps-1, func() {}
+	if !c.st.large[source] {
+		room--
+		if h.Pack != "" {
+			last = func() { d.keys[source], d.drop[j.ID] = true, true }
+		} else {
+			last = func() { d.raw = append(d.raw, Put{Key: source}) }
+		}
+	}
 	left := 0
 	for _, x := range cells {
 		// Written already if it is there since source and header last changed. The
 		// commit that names the cells is conditional on those two: then no late one
 		// of these can have changed a cell meanwhile, and conditions are few.
-		if n > c.cfg.TxnOps-1 && c.st.stamps[x.key] > max(c.st.stamps[source], c.st.stamps[keyJob(j.ID)]) {
+		if n > room && c.st.stamps[x.key] > max(c.st.stamps[source], c.st.stamps[keyJob(j.ID)]) {
 			continue
 		}
-		if len(d.raw) < c.cfg.TxnOps-1 {
+		if len(d.raw) < room {
 			d.raw = append(d.raw, Put{Key: x.key, Value: x.v})
 			d.cond(x.key)
 		} else {
@@ -364,6 +380,7 @@
 		}
 	}
 	if left == 0 {
+		last()
 		d.heads[j.ID] = &next
 		id := j.ID
 		d.notes = append(d.notes, func() { c.log(1, "value made smaller", "key", source, "job", id, "cells", n) })
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -71,7 +71,7 @@
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
 	key := keyOf(j, i)
-	if foreign := d.c.foreign(j); foreign && key != d.only {
+	if foreign := d.c.foreign(j, i); foreign && key != d.only {
 		d.c.others[key] = true
 		return false
 	} else if !foreign && d.only != "" {
@@ -137,14 +137,14 @@
 // foreign: the value that holds the job's tasks belongs to another part, which
 // writes it a few times a second. Tasks of such a job run on machines of this
 // part after their owners changed: when a zone was cut off, by the hundred.
-func (c *Core) foreign(j *Job) bool {
+func (c *Core) foreign(j *Job, i int) bool {
 	if j.H.In || whole(j.H.Spec) || !c.wide() {
 		return false
 	}
 	if j.H.Pack != "" {
 		return !strings.HasPrefix(j.H.Pack, c.cfg.Node+"/")
 	}
-	return c.partOf(j, Task{}) != c.cfg.Node
+	return c.homeOf(j, i) != c.cfg.Node
 }
 
 // nextOther is the other part's value to be changed next, in turn.
@@ -680,10 +680,10 @@
 	// A cancelled job whose last booking is gone needs no further care.
 	for _, id := range slices.Sorted(maps.Keys(c.st.cleaning)) {
 		j := c.st.cleaning[id]
-		if j.nB > 0 || c.partOf(j, Task{}) != c.cfg.Node || j.H.Spec == nil {
+		if j.nB > 0 || c.homeOf(j, 0) != c.cfg.Node || j.H.Spec == nil {
 			continue
 		}
-		if foreign := c.foreign(j); foreign && d.only != keyOf(j, 0) {
+		if foreign := c.foreign(j, 0); foreign && d.only != keyOf(j, 0) {
 			c.others[keyOf(j, 0)] = true
 			continue
 		} else if !foreign && d.only != "" {
@@ -849,10 +849,10 @@
 		for _, m := range ms {
 			name := m.Name
 			free := c.free(name, c.flavor(m.Type).Size, d)
-			for _, id := range m.queue {
+			for _, id := range c.byPriority(m) {
 				j := c.st.jobs[id.Job]
 				if c.placed[id] != name || j == nil || j.phase != phaseOpen || d.changed[id] ||
-					j.task(id.I).State != Queued || c.partOf(j, j.task(id.I)) != c.cfg.Node {
+					j.task(id.I).State != Queued || c.partOf(j, id.I, j.task(id.I)) != c.cfg.Node {
 					continue
 				}
 				if int64(c.now) < j.hold || c.giveTo[id] != "" || c.giveJob[id.Job] != "" {
@@ -912,6 +912,25 @@
 	}
 }
 
+// byPriority is a machine's queue, first come, first served among tasks of the same
+// priority. A small urgent task that fits must not wait behind a large one that
+// doesn't: on a day of pipelines their last jobs waited 30 s so.
+func (c *Core) byPriority(m *Machine) []TaskID {
+	prio := func(id TaskID) int {
+		if j := c.st.jobs[id.Job]; j != nil {
+			return j.prio
+		}
+		return 0
+	}
+	for i := 1; i < len(m.queue); i++ {
+		if prio(m.queue[i]) > prio(m.queue[i-1]) {
+			slices.SortStableFunc(m.queue, func(a, b TaskID) int { return prio(b) - prio(a) })
+			break
+		}
+	}
+	return m.queue
+}
+
 // claim is what waiting whole jobs want of their team's limit.
 type claim struct {
 	unit  Res // one job
@@ -990,8 +1009,8 @@
 			return
 		}
 		delete(c.giveJob, id)
-		if j == nil || j.H.State != JobOpen || !untouched(j) || j.queued > 0 || !slices.Contains(c.st.view.Serving, to) ||
-			c.partOf(j, Task{}) != c.cfg.Node {
+		if j == nil || j.H.State != JobOpen || !movable(j) || j.queued > 0 || !slices.Contains(c.st.view.Serving, to) ||
+			c.homeOf(j, 0) != c.cfg.Node {
 			continue
 		}
 		h := d.head(j)
@@ -1013,7 +1032,7 @@
 		j := c.st.jobs[id.Job]
 		delete(c.giveTo, id)
 		if j == nil || j.H.State != JobOpen || d.changed[id] || j.task(id.I).State != Queued ||
-			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, j.task(id.I)) != c.cfg.Node {
+			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, id.I, j.task(id.I)) != c.cfg.Node {
 			continue
 		}
 		if c.shun(j, id.I) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"encoding/hex"
 	"reflect"
 	"testing"
 
@@ -29,3 +30,36 @@
 		}
 	}
 }
+
+// Frames as the version in production before pipelines wrote them.
+const (
+	beforeLoads = "1c0000000000000014002c0028001c00140010000c0000000800070014000000000000012c000000400000005400000000000000000004400400000000000000000000000400000003000000632d31000100000004000000080000006e2d303030303033000000000100000004000000080000006e2d30303030303200000000010000001c0000000000160030002c002800240020001f000000100008000400160000002c000000000000000000f83f0200000000000000000000000000000134000000380000003c0000004c00000002000000140000000400000005000000696d672d3200000005000000696d672d31000000010000006100000003000000626f78000d00000031302e312e302e313a39303030000000080000006e2d30303030303100000000"
+	beforeSteal = "1c000000000000000000120020001c001400000010000c0004000800120000003800000070000000700000007000000004000000000000000400000003000000632d3200000012002c0028002400230018001000080004001200000008000000b80b000000000000d007000000000000e80300000000000000000001080000000c000000010000006200000003000000626f7800000000000000000000000000"
+)
+
+// TestFramesOfTheVersionBefore: both versions talk to each other while controllers
+// are replaced. Fields are only ever appended in the schema.
+func TestFramesOfTheVersionBefore(t *testing.T) {
+	for from, x := range map[string]struct {
+		frame string
+		want  core.PeerMsg
+	}{
+		"c-1": {beforeLoads, core.PeerMsg{Epoch: 4, Load: 2.5, Usable: true, Holds: []string{"n-000002"}, Evict: []string{"n-000003"},
+			Machines: []core.PeerMachine{{Name: "n-000001", Addr: "10.1.0.1:9000", Type: "box", Zone: "a", Spot: true, Shift: 2, Load: 1.5,
+				Images: []string{"img-1", "img-2"}}}}},
+		"c-2": {beforeSteal, core.PeerMsg{Epoch: 4, Machines: []core.PeerMachine{}, Steal: &core.Steal{Type: "box", Zone: "b", Spot: true, Room: core.Res{CPU: 1000, GPU: 2000, Mem: 3000}, Most: 8}}},
+	} {
+		b, err := hex.DecodeString(x.frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, m, err := Decode(b)
+		if err != nil || got != from || !reflect.DeepEqual(m, x.want) {
+			t.Errorf("%s: from %q, err %v\n got %+v\nwant %+v", from, got, err, m, x.want)
+		}
+		// What this version writes is the same to the byte, so the other reads it.
+		if now := Encode(from, x.want); !reflect.DeepEqual(now, b) {
+			t.Errorf("%s: written otherwise now", from)
+		}
+	}
+}
