Rest part by part in wide fleets; spreading arrays over parts reverted

Cause: the leader let the dearest machines of the whole fleet run empty as long as the rest had room for all that waits, so a part with a backlog had too little room (part bracket-1 released 7 tasks a commit and booked 2) while others kept machines free. Ruled out: conflicts (11 of 2,409 commits).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -365,6 +365,7 @@
 type need struct {
 	sp *Spec
 	n  int
+	j  *Job // nil: none yet
 }
 
 func (c *Core) pending() []need {
@@ -396,7 +397,7 @@
 			continue
 		}
 		if n > 0 {
-			l = append(l, need{sp, n})
+			l = append(l, need{sp, n, j})
 		}
 	}
 	c.fleet.wholeRate = map[string]float64{}
@@ -501,7 +502,16 @@
 		price float64
 	}
 	var cs []cand
-	var want Res
+	// In a wide fleet each part needs the room for its own jobs: those that wait in
+	// one can't use what another one keeps free.
+	wide := c.wide()
+	wants, all := map[string]Res{}, Res{}
+	part := func(k known) string {
+		if !wide {
+			return ""
+		}
+		return c.ownerIn(k.Name, k.Zone)
+	}
 	for _, k := range ms {
 		if !k.up || k.mark.State != "" || f.hold[k.Name] {
 			continue
@@ -512,7 +522,7 @@
 			continue
 		}
 		here := o.used
-		want = want.Plus(here, 1)
+		wants[part(k)] = wants[part(k)].Plus(here, 1)
 		p := fl.Price
 		if k.Spot {
 			p = fl.Spot
@@ -530,12 +540,20 @@
 		cs = append(cs, cand{k, p})
 	}
 	for _, p := range pend {
-		if !whole(p.sp) {
-			want = want.Plus(p.sp.Need, int64(p.n))
+		switch {
+		case whole(p.sp):
+		case wide && p.j != nil:
+			n := c.homeOf(p.j)
+			wants[n] = wants[n].Plus(p.sp.Need, int64(p.n))
+		default:
+			wants[""] = wants[""].Plus(p.sp.Need, int64(p.n))
 		}
 	}
 	grow := func(x int64) int64 { return x + x*tuning.HeadroomPercent/100 }
-	want = Res{grow(want.CPU), grow(want.GPU), grow(want.Mem)}
+	for n, w := range wants {
+		wants[n] = Res{grow(w.CPU), grow(w.GPU), grow(w.Mem)}
+		all = all.Plus(wants[n], 1)
+	}
 	sort.SliceStable(cs, func(a, b int) bool { return cs[a].price < cs[b].price })
 	if c.now >= f.tellAt {
 		f.tellAt = c.now + tuning.FleetTell
@@ -559,15 +577,16 @@
 			}
 			busy += fmt.Sprintf(" %d%s", k.busy, tag)
 		}
-		c.log(2, "fleet", "want", want, "tasks_by_machine", busy)
+		c.log(2, "fleet", "want", all, "tasks_by_machine", busy)
 	}
-	var have Res
+	have := map[string]Res{}
 	for _, x := range cs {
-		if have.Holds(want) {
+		n := part(x.k)
+		if have[n].Holds(wants[n]) {
 			f.rest[x.k.Name] = true
 			continue
 		}
-		have = have.Plus(c.flavor(x.k.Type).Size, 1)
+		have[n] = have[n].Plus(c.flavor(x.k.Type).Size, 1)
 	}
 }
 
@@ -625,7 +644,7 @@
 	pend = slices.Clone(pend)
 	for _, class := range slices.Sorted(maps.Keys(f.wholeSeen)) {
 		if n := c.spare(f.wholeSeen[class].sp); n > 0 {
-			pend = append(pend, need{f.wholeSeen[class].sp, n})
+			pend = append(pend, need{f.wholeSeen[class].sp, n, nil})
 		}
 	}
 	// Whole machines first: small tasks find room in what is left.
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -177,7 +177,7 @@
 			if j != nil && j.H.Spec != nil {
 				for i := 0; i < j.H.N; i = j.cellEnd(i) {
 					cut = cut && keyOf(j, i) != key
-					if keyOf(j, i) == key && c.homeOf(j, i) == c.cfg.Node && c.cut(d, j, i) {
+					if keyOf(j, i) == key && c.homeOf(j) == c.cfg.Node && c.cut(d, j, i) {
 						return
 					}
 				}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -256,9 +254,7 @@
 		size = tuning.TaskBytes
 	}
 	h.Chunk = max(1, (c.cfg.ValueB-tuning.PackSlack)/size)
-	if parts := c.spread(sp); len(parts) > 1 {
-		h.Part, h.Parts, h.Chunk = parts[0], parts, (sp.N+len(parts)-1)/len(parts)
-	} else if pack, ok := c.packFor(sp, h.Part); ok {
+	if pack, ok := c.packFor(sp, h.Part); ok {
 		h.Pack, h.Chunk = pack, h.N
 	} else if whole(sp) && h.N <= tuning.InHeader {
 		h.In, h.Chunk = true, h.N
@@ -266,50 +262,6 @@
 	return h
 }
 
-// spread gives the parts that a large array of a wide fleet is spread over, a chunk
-// each: those with most room, as few as have room for all of it together. In one
-// part its last tasks wait for others of that part to end, while other parts have
-// room; and jobs that began are not passed on, since two parts would write their
-// values. None: it stays whole.
-func (c *Core) spread(sp *Spec) []string {
-	if whole(sp) || !c.formatOn() || sp.N < 2*tuning.SpreadLeast || !c.wide() {
-		return nil
-	}
-	type part struct {
-		name string
-		room int64
-	}
-	rooms := map[string]int64{}
-	for _, m := range c.inventory() {
-		if f := c.flavor(m.typ); f != nil && c.fits(sp, m.typ, m.zone, m.spot) && f.Size.Holds(sp.Need) {
-			if rooms[m.owner] += 0; !c.kept(m.name) {
-				rooms[m.owner] += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
-			}
-		}
-	}
-	var l []part
-	for _, n := range c.st.view.Serving {
-		if r, ok := rooms[n]; ok {
-			l = append(l, part{n, r - c.sentTo(n)})
-		}
-	}
-	slices.SortStableFunc(l, func(a, b part) int { return cmp.Compare(b.room, a.room) })
-	most := min(len(l), tuning.SpreadMost, sp.N/tuning.SpreadLeast)
-	least := (sp.N*tuning.ChunkBytes + c.cfg.ValueB - tuning.PackSlack - 1) / (c.cfg.ValueB - tuning.PackSlack)
-	if most < 2 || least > most || l[0].room >= int64(sp.N) {
-		return nil
-	}
-	var parts []string
-	sum := int64(0)
-	for _, p := range l[:most] {
-		if len(parts) >= max(2, least) && sum >= int64(sp.N) {
-			break
-		}
-		parts, sum = append(parts, p.name), sum+max(p.room, 0)
-	}
-	return parts
-}
-
 // put writes the header of a new job and tells its user.
 func (c *Core) put(e EvSubmit, h *Header) {
 	t := Txn{When: []Cond{{keyJob(e.ID), 0}}, Apply: []Put{{Key: keyJob(e.ID), Value: enc(h)}}}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -267,13 +267,7 @@
 			if r.split && j.late != r.late || c.giveJob[j.ID] != "" {
 				continue
 			}
-			// Which of its tasks are at home here: all, none, or those of some chunks.
-			var here []bool
-			home := false
-			c.homes(j, func(p string, _, _ int) {
-				here = append(here, p == c.cfg.Node)
-				home = home || p == c.cfg.Node
-			})
+			home := c.homeOf(j) == c.cfg.Node
 			if j.Tasks == nil && !home || wide && home && c.passJob(j, ts) {
 				continue
 			}
@@ -282,7 +276,7 @@
 			for i := 0; i < j.H.N && j.queued < tuning.QueuedPerJob; i++ {
 				id := TaskID{j.ID, i}
 				t := j.task(i)
-				if t.State != Queued || t.Part == "" && !here[min(i/j.H.Chunk, len(here)-1)] || t.Part != "" && c.partOf(j, i, t) != c.cfg.Node ||
+				if t.State != Queued || t.Part == "" && !home || t.Part != "" && c.partOf(j, t) != c.cfg.Node ||
 					c.placed[id] != "" || c.giveTo[id] != "" {
 					continue
 				}
@@ -297,7 +291,7 @@
 					if f := c.anyFlavor(j.H.Spec); f != nil && !j.late {
 						n := 1
 						if wide {
-							n = c.hereQueued(j) - j.queued // all the others of the job
+							n = j.nQ - j.queued // all the others of the job
 						}
 						c.poolRun += float64(n) * c.runTime(j.H.Spec) / float64(max(f.Size.Times(j.H.Spec.Need, 64), 1))
 					}
@@ -392,8 +386,8 @@
 func (c *Core) setScarce(ts []target) {
 	var want, room Res
 	for _, j := range c.st.open {
-		if j.nQ > 0 && !whole(j.H.Spec) {
-			want = want.Plus(j.H.Spec.Need, int64(max(0, c.hereQueued(j)-j.queued)))
+		if j.nQ > 0 && !whole(j.H.Spec) && c.homeOf(j) == c.cfg.Node {
+			want = want.Plus(j.H.Spec.Need, int64(j.nQ-j.queued))
 		}
 	}
 	for i := range ts {
@@ -747,15 +741,12 @@
 // untouched: nothing of the job was booked or handed over yet.
 func untouched(j *Job) bool { return j.Tasks == nil && j.nQ == j.H.N }
 
-// movable: it may be passed or stolen whole.
-func movable(j *Job) bool { return untouched(j) && len(j.H.Parts) == 0 }
-
 // passJob draws once whether a job of which nothing could start here stays in
 // this part or goes to another, each at its mean load; true: it goes. The part
 // was chosen for its room a moment ago, so the job first gets a chance there.
 func (c *Core) passJob(j *Job, ts []target) bool {
 	sp := j.H.Spec
-	if !movable(j) || j.H.Hops > 0 || c.keepJob[j.ID] || j.queued > 0 ||
+	if !untouched(j) || j.H.Hops > 0 || c.keepJob[j.ID] || j.queued > 0 ||
 		c.now-time.Duration(j.seenAt) < tuning.StealAfter {
 		return false
 	}
@@ -939,7 +930,7 @@
 		if j.nQ == 0 || whole(j.H.Spec) || !within(c.teamUsed(j.H.Spec.Team, nil).Plus(j.H.Spec.Need, 1), c.cfg.Teams[j.H.Spec.Team].Max) {
 			continue
 		}
-		if wide && (!movable(j) || c.now-time.Duration(j.seenAt) < tuning.StealAfter) {
+		if wide && (!untouched(j) || c.now-time.Duration(j.seenAt) < tuning.StealAfter) {
 			continue
 		}
 		x := lot{j.H.Spec, map[string]bool{}}
@@ -947,7 +938,7 @@
 		for i, seen := 0, 0; i < j.H.N && seen < tuning.StealLook; i++ {
 			if t := j.task(i); t.State == Queued {
 				seen++
-				x.parts[c.partOf(j, i, t)] = true
+				x.parts[c.partOf(j, t)] = true
 			}
 		}
 		delete(x.parts, c.cfg.Node)
@@ -1017,7 +1008,7 @@
 	if c.wide() {
 		for _, j := range c.st.open {
 			sp := j.H.Spec
-			if whole(sp) || !movable(j) || j.queued > 0 || c.giveJob[j.ID] != "" || c.homeOf(j, 0) != c.cfg.Node ||
+			if whole(sp) || !untouched(j) || j.queued > 0 || c.giveJob[j.ID] != "" || c.homeOf(j) != c.cfg.Node ||
 				j.H.Hops >= tuning.HopsMost || !c.fits(sp, s.Type, s.Zone, s.Spot) {
 				continue
 			}
@@ -1037,7 +1028,7 @@
 		}
 		for i := 0; i < j.H.N; i++ {
 			id := TaskID{j.ID, i}
-			if t := j.task(i); t.State == Queued && c.placed[id] == "" && c.partOf(j, i, t) == c.cfg.Node {
+			if t := j.task(i); t.State == Queued && c.placed[id] == "" && c.partOf(j, t) == c.cfg.Node {
 				give(id)
 			}
 		}
@@ -1111,9 +1102,7 @@
 			if j.nQ > 0 && !whole(j.H.Spec) {
 				c.waitAll += int64(j.nQ)
 				if !j.late {
-					c.homes(j, func(p string, from, to int) {
-						c.waitIn[p] += int64(j.nQ) * int64(to-from) / int64(j.H.N)
-					})
+					c.waitIn[c.homeOf(j)] += int64(j.nQ)
 				}
 			}
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -71,7 +71,7 @@
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
 	n, b := d.ops(), d.bytes
 	key := keyOf(j, i)
-	if foreign := d.c.foreign(j, i); foreign && key != d.only {
+	if foreign := d.c.foreign(j); foreign && key != d.only {
 		d.c.others[key] = true
 		return false
 	} else if !foreign && d.only != "" {
@@ -137,14 +137,14 @@
 // foreign: the value that holds the job's tasks belongs to another part, which
 // writes it a few times a second. Tasks of such a job run on machines of this
 // part after their owners changed: when a zone was cut off, by the hundred.
-func (c *Core) foreign(j *Job, i int) bool {
+func (c *Core) foreign(j *Job) bool {
 	if j.H.In || whole(j.H.Spec) || !c.wide() {
 		return false
 	}
 	if j.H.Pack != "" {
 		return !strings.HasPrefix(j.H.Pack, c.cfg.Node+"/")
 	}
-	return c.homeOf(j, i) != c.cfg.Node
+	return c.homeOf(j) != c.cfg.Node
 }
 
 // nextOther is the other part's value to be changed next, in turn.
@@ -680,10 +680,10 @@
 	// A cancelled job whose last booking is gone needs no further care.
 	for _, id := range slices.Sorted(maps.Keys(c.st.cleaning)) {
 		j := c.st.cleaning[id]
-		if j.nB > 0 || c.homeOf(j, 0) != c.cfg.Node || j.H.Spec == nil {
+		if j.nB > 0 || c.homeOf(j) != c.cfg.Node || j.H.Spec == nil {
 			continue
 		}
-		if foreign := c.foreign(j, 0); foreign && d.only != keyOf(j, 0) {
+		if foreign := c.foreign(j); foreign && d.only != keyOf(j, 0) {
 			c.others[keyOf(j, 0)] = true
 			continue
 		} else if !foreign && d.only != "" {
@@ -852,7 +852,7 @@
 			for _, id := range c.byPriority(m) {
 				j := c.st.jobs[id.Job]
 				if c.placed[id] != name || j == nil || j.phase != phaseOpen || d.changed[id] ||
-					j.task(id.I).State != Queued || c.partOf(j, id.I, j.task(id.I)) != c.cfg.Node {
+					j.task(id.I).State != Queued || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 					continue
 				}
 				if int64(c.now) < j.hold || c.giveTo[id] != "" || c.giveJob[id.Job] != "" {
@@ -1009,8 +1009,8 @@
 			return
 		}
 		delete(c.giveJob, id)
-		if j == nil || j.H.State != JobOpen || !movable(j) || j.queued > 0 || !slices.Contains(c.st.view.Serving, to) ||
-			c.homeOf(j, 0) != c.cfg.Node {
+		if j == nil || j.H.State != JobOpen || !untouched(j) || j.queued > 0 || !slices.Contains(c.st.view.Serving, to) ||
+			c.homeOf(j) != c.cfg.Node {
 			continue
 		}
 		h := d.head(j)
@@ -1032,7 +1032,7 @@
 		j := c.st.jobs[id.Job]
 		delete(c.giveTo, id)
 		if j == nil || j.H.State != JobOpen || d.changed[id] || j.task(id.I).State != Queued ||
-			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, id.I, j.task(id.I)) != c.cfg.Node {
+			!slices.Contains(c.st.view.Serving, to) || c.partOf(j, j.task(id.I)) != c.cfg.Node {
 			continue
 		}
 		if c.shun(j, id.I) {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -225,7 +225,7 @@
 		c.occupy(j, id, t, 1)
 	}
 	j.Tasks[i] = t
-	if t.State != Queued || c.partOf(j, i, t) != c.cfg.Node {
+	if t.State != Queued || c.partOf(j, t) != c.cfg.Node {
 		c.unplace(id)
 	}
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -97,7 +97,6 @@
 	Clean  bool        `json:"cl,omitempty"` // cancelled and every booking released
 	Born   int64       `json:"bo,omitempty"` // time of day when it was accepted, ms
 	End    int64       `json:"en,omitempty"` // time of day when it was done, ms
-	Parts  []string    `json:"ps,omitempty"` // parts of the chunks, if the job is spread over several
 	Cut    []byte      `json:"cu,omitempty"` // bits: chunks that are kept in several cells
 	Sub    int         `json:"su,omitempty"` // tasks a cell
 	Fin    int         `json:"fi,omitempty"` // once anything is cut: tasks of chunks and cells that are done, in place of Chunks
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	json "github.com/goccy/go-json"
@@ -131,13 +130,12 @@
 	return v != nil && v.Members[c.cfg.Node] == c.inc && c.ownerOf(machine) == c.cfg.Node
 }
 
-// partOf tells whose queue task i belongs to: the part it was passed to, or its
-// chunk's. A part that doesn't serve falls to a hash over the view without any
-// write.
-func (c *Core) partOf(j *Job, i int, t Task) string {
+// partOf tells whose queue a queued task belongs to. A part that doesn't
+// serve falls to a hash over the view without any write.
+func (c *Core) partOf(j *Job, t Task) string {
 	p := t.Part
 	if p == "" {
-		return c.homeOf(j, i)
+		p = j.H.Part
 	}
 	v := c.st.view
 	if v == nil || slices.Contains(v.Serving, p) {
@@ -146,51 +144,8 @@
 	return rendezvous(j.ID, v.Serving)
 }
 
-// homeOf is the part of task i's chunk.
-func (c *Core) homeOf(j *Job, i int) string {
-	p, key := j.H.Part, j.ID
-	if k := i / max(j.H.Chunk, 1); k < len(j.H.Parts) {
-		if p = j.H.Parts[k]; k > 0 {
-			key += "/" + strconv.Itoa(k)
-		}
-	}
-	v := c.st.view
-	if v == nil || slices.Contains(v.Serving, p) {
-		return p
-	}
-	return rendezvous(key, v.Serving)
-}
-
-// homes calls f for each part of a job with its stretch of tasks.
-func (c *Core) homes(j *Job, f func(part string, from, to int)) {
-	if len(j.H.Parts) == 0 {
-		f(c.homeOf(j, 0), 0, j.H.N)
-		return
-	}
-	for i := 0; i < j.H.N; i += j.H.Chunk {
-		f(c.homeOf(j, i), i, min(i+j.H.Chunk, j.H.N))
-	}
-}
-
-// hereQueued is how many of a job's queued tasks are at home in this part.
-func (c *Core) hereQueued(j *Job) int {
-	n := 0
-	c.homes(j, func(p string, from, to int) {
-		if p != c.cfg.Node {
-			return
-		}
-		if len(j.H.Parts) == 0 {
-			n = j.nQ
-			return
-		}
-		for i := from; i < to; i++ {
-			if j.task(i).State == Queued {
-				n++
-			}
-		}
-	})
-	return n
-}
+// homeOf is the part of a job, where its tasks wait unless they were passed on.
+func (c *Core) homeOf(j *Job) string { return c.partOf(j, Task{}) }
 
 // adoptView takes a newer view from the watch and settles from when on this
 // node owns each machine.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -159,11 +159,6 @@
 	// LookUps is the most awaited jobs that are asked of the state service one by
 	// one when a submission names them and the cache lacks them.
 	LookUps = 4
-	// SpreadLeast is the least number of tasks in a chunk of an array that is spread
-	// over several parts, SpreadMost the most parts: each has a value of its own to
-	// write.
-	SpreadLeast = 30
-	SpreadMost  = 4
 	// FormatRetry is the pause before an announcement of the format is tried again.
 	FormatRetry = 500 * time.Millisecond
 	// HeaderBytes is the room kept for a job header's fixed part.
