--- a/internal/standin/bench_test.go
+++ b/internal/standin/bench_test.go
@@ -10,6 +10,12 @@
 
 // grown is a deployment of the size that the grown ones have.
 func grown(nodes, fill int, change ...func(*core.Settings)) *World {
+	w := New(1, grownSettings(nodes, fill, change...))
+	w.fill = fill
+	return w
+}
+
+func grownSettings(nodes, fill int, change ...func(*core.Settings)) core.Settings {
 	set := Settings()
 	set.Nodes, set.ZoneOf = nil, map[string]string{}
 	for i := 0; i < nodes; i++ {
@@ -26,9 +32,7 @@
 	for _, f := range change {
 		f(&set)
 	}
-	w := New(1, set)
-	w.fill = fill
-	return w
+	return set
 }
 
 // feed submits arrays and gangs as they come in a grown deployment.
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -152,3 +153,73 @@
 		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
 	}
 }
+
+// TestFleetUpgrade: with 2,000 machines the seven controllers are replaced one by
+// one, and the state service's limits fall to 2 KiB, 4 changes and 18 changes a second
+// while the values of the version before are still being made smaller. No rule
+// breaks, hardly a change is refused for its size, the machines go on starting tasks,
+// pipelines run, and in the end no value of a job is too large.
+func TestFleetUpgrade(t *testing.T) {
+	set := grownSettings(7, 500, func(s *core.Settings) {
+		s.ValueNow, s.ValueB, s.TxnOps = 4096, 2048, 4
+		s.WriteRate, s.WriteFair, s.ReadRate = 18*0.92*1.4/7, 18*0.92/7, 120*0.92/7
+		s.Lease, s.Cancel = 31*time.Second, 56*time.Second
+	})
+	w := newWorld(1, set, 8, true)
+	w.fill = 500
+	w.feed(220, time.Millisecond)
+	w.feed(260, 500*time.Millisecond)
+	for i, n := range w.nodes {
+		w.after(time.Duration(40+4*i)*time.Second, func() {
+			n.old = false
+			n.crash([]time.Duration{200 * time.Millisecond, 3 * time.Second}[i%2])
+		})
+	}
+	w.Run(63 * time.Second)
+	if w.st.kv["b/format"].v != nil {
+		t.Fatal("the format is on before the last controller is replaced")
+	}
+	w.Run(66 * time.Second)
+	if w.st.kv["b/format"].v == nil {
+		t.Fatal("the format is not on")
+	}
+	large := 0
+	for _, e := range w.st.kv {
+		if len(e.v) > set.ValueB {
+			large++
+		}
+	}
+	w.st.lower(set.ValueB, set.TxnOps)
+	for i := 0; i < 20; i++ {
+		a, b := fmt.Sprintf("job-%06d", 900000+2*i), fmt.Sprintf("job-%06d", 900001+2*i)
+		sp := core.Spec{ID: a, Class: "p", Team: "red", Shape: core.Array, N: 3, Need: core.Res{CPU: 1000, Mem: 1000}, Spot: true, Est: 5}
+		next := sp
+		next.ID, next.Needs = b, []string{a}
+		w.after(time.Duration(i)*time.Second, func() { w.Submit(sp, 5*time.Second); w.Submit(next, 5*time.Second) })
+	}
+	starts := w.Starts()
+	w.Run(140 * time.Second)
+	if n := w.Starts() - starts; n < 1500 {
+		t.Errorf("only %d tasks started in 70 s after the limits fell", n)
+	}
+	w.Run(200 * time.Second)
+	done := 0
+	for i := 0; i < 20; i++ {
+		if j := w.jobs[fmt.Sprintf("job-%06d", 900001+2*i)]; j != nil && len(j.done) == 3 {
+			done++
+		}
+	}
+	left := 0
+	for k, e := range w.st.kv {
+		if len(e.v) > set.ValueB && !strings.HasPrefix(k, "b/task/") { // what was cut stays where it was
+			left++
+		}
+	}
+	t.Logf("%d values too large when the limits fell, %d in the end; %d made smaller, %d refused; %d pipelines done", large, left, w.smaller, w.st.tooLarge, done)
+	if large < 3 || left > 0 || w.st.tooLarge > 14 || done < 18 {
+		t.Errorf("%d values too large when the limits fell, %d in the end; %d refused; %d of 20 pipelines done", large, left, w.st.tooLarge, done)
+	}
+	if len(w.Broken) > 0 {
+		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
+	}
+}
