--- a/internal/standin/pipe_test.go
+++ b/internal/standin/pipe_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 )
 
 // pipelines appends random pipelines to a day: chains, diamonds and fans, some
@@ -152,3 +153,50 @@
 		}
 	}
 }
+
+// TestLeaderUpgraded: whoever leads is replaced first, last, or twice (the leader,
+// then the one that took over, then the rest); the pipeline that comes meanwhile is
+// told to come back, and runs once all are new.
+func TestLeaderUpgraded(t *testing.T) {
+	for _, order := range []string{"first", "last", "twice"} {
+		set := Settings()
+		w := newWorld(31, set, 0, true)
+		w.Watchful()
+		lead := func() (leader string) {
+			for _, n := range w.nodes {
+				if strings.Contains(string(w.st.kv["b/view"].v), `"l":"`+n.name+`"`) {
+					leader = n.name
+				}
+			}
+			return leader
+		}
+		act := func(s string) {
+			if err := w.act(strings.Fields(s)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		act("submit job-000001 array 6 blue run=60 spot")
+		w.Run(30 * time.Second)
+		for left := 3; left > 0; left-- {
+			next := ""
+			for _, n := range w.nodes {
+				if isLeader := n.name == lead(); n.old && (next == "" || isLeader == (order != "last")) {
+					next = n.name
+				}
+			}
+			act("upgrade " + next + " back=0.5")
+			if left == 2 {
+				act("submit job-000002 array 2 red run=5 awaits=job-000001")
+			}
+			if order == "twice" {
+				w.Run(w.Now + 700*time.Millisecond)
+				act("crash " + next + " back=0.2")
+			}
+			w.Run(w.Now + 8*time.Second)
+		}
+		w.Run(w.Now + 90*time.Second)
+		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 || !w.jobs["job-000002"].accepted || w.st.kv["b/format"].v == nil {
+			t.Errorf("%s: broken %v, unfinished %v", order, w.Broken, w.Unfinished())
+		}
+	}
+}
