--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -310,6 +310,11 @@
 	GuardQuota = "quota" // start only within the team's limit
 	GuardDead  = "dead"  // never answer a session that was given up
 
+	GuardDoom  = "doom"  // send no run of a booking whose release was tried
+	GuardView  = "view"  // take the view from the watch alone
+	GuardClear = "clear" // clear an ended task only when its outcome is committed
+	GuardGone  = "gone"  // book under the condition of the machine's page of marks
+	GuardPage  = "page"  // take nothing from a snapshot that is newer than its first page
 	GuardIndex = "index" // answer what may change behind a read index
 	GuardNever = "never" // accept nothing that can't run
 
@@ -491,7 +496,7 @@
 		for _, a := range p.t.Apply {
 			// The view is taken from the watch alone, so that whoever sees
 			// epoch e has seen all commits of earlier epochs.
-			if a.Key != keyView {
+			if a.Key != keyView || !c.guard(GuardView) {
 				c.apply(KV{Key: a.Key, Value: a.Value, Stamp: e.Ledger})
 			}
 		}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -268,7 +268,7 @@
 		delete(c.held, h.machine)
 	}
 	m := c.mach[h.machine]
-	if m == nil || !c.fenceOK() || !c.owns(h.machine) || h.shift <= m.deadShift || h.shift != m.shift ||
+	if m == nil || !c.fenceOK() || !c.owns(h.machine) || c.guard(GuardDead) && h.shift <= m.deadShift || h.shift != m.shift ||
 		c.st.marks[h.machine].State == MarkGone {
 		c.emit(EfCheckin{Req: h.req, Status: 503})
 		return
@@ -285,7 +285,7 @@
 	for _, id := range sortedTasks(m.tasks) {
 		s := m.tasks[id]
 		if s.State == SeenEnded {
-			if !c.booking(m, s) {
+			if !c.booking(m, s) || !c.guard(GuardClear) {
 				clears = append(clears, Order{Verb: Clear, Task: id, Attempt: s.Attempt})
 			}
 			continue
@@ -304,7 +304,7 @@
 		if j.H.Halt >= t.Attempt && j.H.Halt > 0 {
 			continue
 		}
-		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] || m.recallAt >= 0 || c.evicted(m.Name) && !whole(j.H.Spec) || !c.gangWhole(j, t) {
+		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] && c.guard(GuardDoom) || m.recallAt >= 0 || c.evicted(m.Name) && !whole(j.H.Spec) || !c.gangWhole(j, t) {
 			continue
 		}
 		m.sent[k] = tally
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -942,7 +942,9 @@
 	t := d.task(j, i)
 	d.cond(keyJob(j.ID)) // it may have been cancelled or passed on
 	*t = Task{State: Booked, Attempt: attempt, Machine: m, Shift: shift, Zone: zone, Part: d.c.cfg.Node}
-	d.cond(preMach + d.c.markHome(m))
+	if d.c.guard(GuardGone) {
+		d.cond(preMach + d.c.markHome(m))
+	}
 	d.machs[m] = true
 	d.add[d.keyOf(j, i)] += d.c.bookBytes()
 	d.mine[j.H.Spec.Team] = d.mine[j.H.Spec.Team].Plus(j.H.Spec.Need, 1)
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -531,7 +531,7 @@
 		// The pages are read one after the other. What changed after the first
 		// comes with the watch, in order: a chunk taken now without its header
 		// would be dropped, and its stamp then hide it for good.
-		if kv.Stamp <= ev.Ledger {
+		if kv.Stamp <= ev.Ledger || !c.guard(GuardPage) {
 			c.apply(kv)
 		}
 	}
