--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,6 +67,7 @@
 	b    Backend
 	most int          // sockets
 	open atomic.Int64 // connections of users and workers
+	bad  atomic.Int64 // malformed reports
 }
 
 func (h *handler) count(_ net.Conn, s http.ConnState) {
@@ -154,6 +156,7 @@
 		r, ok = ParseReport(b)
 	}
 	if !ok {
+		slog.Info("malformed report", "from", c.Request().RemoteAddr, "bytes", len(b), "count", h.bad.Add(1))
 		return c.JSON(http.StatusBadRequest, failure{"malformed report"})
 	}
 	a, ok := h.b.Ask(true, func(req uint64) core.Event { return core.EvCheckin{Req: req, R: r} })
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/labstack/echo/v4"
+
 	"brassglade/internal/core"
 )
 
@@ -99,3 +101,19 @@
 		t.Errorf("after others closed: %d", w.Code)
 	}
 }
+
+// TestMalformedReportChangesNothing: it is refused, counted, and never reaches the core.
+func TestMalformedReportChangesNothing(t *testing.T) {
+	f := &fake{}
+	h := &handler{b: f}
+	e := echo.New()
+	for i, body := range []string{"{}", "[", `{"Bracket":"n-1","Shift":1,"Pieces":[{"Piece":"job-000001/x","Try":1,"Status":"running"}]}`} {
+		w := httptest.NewRecorder()
+		if err := h.checkin(e.NewContext(httptest.NewRequest(http.MethodPost, "/checkin", strings.NewReader(body)), w)); err != nil {
+			t.Fatal(err)
+		}
+		if w.Code != 400 || f.asked != nil || h.bad.Load() != int64(i+1) {
+			t.Errorf("%s: answered %d, asked %v, counted %d", body, w.Code, f.asked, h.bad.Load())
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,11 +59,11 @@
 		Teams      []Team      `json:"teams" validate:"required,dive"`
 		Objectives []Objective `json:"objectives"`
 		Workers    struct {
-			ReportS   float64 `json:"report_s" validate:"gt=0"`
-			LeaseS    float64 `json:"lease_s" validate:"gt=0"`
-			GangWaitS float64 `json:"gang_wait_s" validate:"gte=0"`
-			GangPeerS float64 `json:"gang_peer_s" validate:"gte=0"`
-			CancelS   float64 `json:"cancel_s" validate:"gt=0"`
+			ReportS   float64 `json:"report_s" validate:"gt=0,lte=1000000"`
+			LeaseS    float64 `json:"lease_s" validate:"gt=0,lte=1000000"`
+			GangWaitS float64 `json:"gang_wait_s" validate:"gte=0,lte=1000000"`
+			GangPeerS float64 `json:"gang_peer_s" validate:"gte=0,lte=1000000"`
+			CancelS   float64 `json:"cancel_s" validate:"gt=0,lte=1000000"`
 		} `json:"workers"`
 		State struct {
 			Rps      float64 `json:"rps" validate:"gt=0"`
@@ -79,7 +79,7 @@
 		} `json:"state"`
 		Cloud struct {
 			Rps      float64 `json:"rps" validate:"gt=0"`
-			ListLagS float64 `json:"list_lag_s" validate:"gte=0"`
+			ListLagS float64 `json:"list_lag_s" validate:"gte=0,lte=1000000"`
 		} `json:"cloud"`
 		MachineLimits struct {
 			CPU   float64 `json:"cpu" validate:"gte=0"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"brassglade/internal/tuning"
 )
 
 const good = `{"member":"c-0","domain":"a","serve_on":"10.0.0.1:8080","back":"10.0.0.1:8081",
@@ -65,9 +68,19 @@
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(good))
 	f.Add([]byte(`{}`))
+	for _, s := range []string{`"cancel_s":36`, `"cancel_s":34.1`, `"cancel_s":40.5`, `"cancel_s":1e300`} {
+		f.Add([]byte(strings.Replace(good, `"cancel_s":56`, s, 1)))
+	}
+	f.Add([]byte(strings.NewReplacer(`"lease_s":31`, `"lease_s":1e12`, `"cancel_s":56`, `"cancel_s":1e13`).Replace(good)))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if s, err := Parse(b); err == nil && s.Core(nil, 1).Fence <= 0 {
-			t.Error("no fence")
+		s, err := Parse(b)
+		if err != nil {
+			return
+		}
+		// What a node last allowed is dead before a cancellation has to be carried out.
+		c := s.Core(nil, 1)
+		if last := c.Fence + c.Lease + c.Lease/1000 + tuning.DriftMargin + tuning.FenceMargin; c.Fence < tuning.FenceLeast || last > c.Cancel+time.Microsecond {
+			t.Errorf("fence %v, a cancelled task may last %v of %v", c.Fence, last, c.Cancel)
 		}
 	})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -207,6 +207,7 @@
 
 // Serve accepts links and hands each message to take.
 func Serve(ln net.Listener, take func(from string, m core.PeerMsg)) error {
+	var bad atomic.Int64
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -231,7 +232,7 @@
 				}
 				from, m, err := Decode(p)
 				if err != nil {
-					slog.Info("peer message", "err", err)
+					slog.Info("malformed peer message", "from", c.RemoteAddr().String(), "bytes", n, "count", bad.Add(1))
 					return
 				}
 				take(from, m)
