--- a/internal/standin/pipe_test.go
+++ b/internal/standin/pipe_test.go
@@ -116,12 +116,11 @@
 // TestRandomUpgrades plays days on which the version before is replaced amid
 // troubles, the limits fall, and pipelines come.
 func TestRandomUpgrades(t *testing.T) {
+	t.Parallel()
 	refused, smaller := 0, 0
-	for _, seed := range []uint64{1, 3, 5, 4, 8, 12, 14, 22} {
-		w, err := Play(upgradeDay(seed, ""))
-		if err != nil {
-			t.Fatal(err)
-		}
+	seeds := []uint64{1, 3, 5, 4, 8, 12, 14, 22}
+	for i, w := range playAll(t, seeds, func(seed uint64) string { return upgradeDay(seed, "") }) {
+		seed := seeds[i]
 		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
 			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
 		}
@@ -141,13 +140,14 @@
 
 // TestRandomPipelines: pipelines on days of overlapping troubles.
 func TestRandomPipelines(t *testing.T) {
-	for seed := uint64(201); seed <= 208; seed++ {
+	t.Parallel()
+	seeds := []uint64{201, 202, 203, 204, 205, 206, 207, 208}
+	for i, w := range playAll(t, seeds, func(seed uint64) string {
 		var b strings.Builder
 		pipelines(&b, rand.New(rand.NewPCG(seed, 5)), 5, 14)
-		w, err := Play(day(seed, "") + b.String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		return day(seed, "") + b.String()
+	}) {
+		seed := seeds[i]
 		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
 			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
 		}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -120,18 +123,36 @@
 	return b.String()
 }
 
+// playAll plays a day for each seed, several at a time: worlds share nothing.
+func playAll(t *testing.T, seeds []uint64, script func(uint64) string) []*World {
+	t.Helper()
+	ws, errs := make([]*World, len(seeds)), make([]error, len(seeds))
+	room := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var g sync.WaitGroup
+	for i, seed := range seeds {
+		g.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			ws[i], errs[i] = Play(script(seed))
+		})
+	}
+	g.Wait()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
+	return ws
+}
+
 // TestRandomDays plays days of overlapping troubles: no rule may be broken, and
 // every accepted job must come to its end.
 func TestRandomDays(t *testing.T) {
+	t.Parallel()
 	starts := 0
 	// The last three broke ran_twice before new sessions were told from old
 	// ones (docs/incidents/own-day-sessions.md).
-	for _, seed := range []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 107, 132, 144} {
-		s := day(seed, "")
-		w, err := Play(s)
-		if err != nil {
-			t.Fatal(err)
-		}
+	seeds := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 107, 132, 144}
+	for i, w := range playAll(t, seeds, func(seed uint64) string { return day(seed, "") }) {
+		seed := seeds[i]
 		starts += w.Starts()
 		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
 			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
@@ -148,6 +169,7 @@
 	for guard, rule := range map[string]string{"proof": "ran_twice", "quota": "quota", "fence": "ran_twice", "": "forgotten",
 		"needs": "too_early", "cascade": "orphaned"} {
 		t.Run(guard, func(t *testing.T) {
+			t.Parallel()
 			for seed := uint64(1); seed <= 20; seed++ {
 				script := day(seed, guard)
 				if guard == "fence" {
