A cell's records are copied in one place; a machine's part is looked up once a decision

The tied value and ordinary drafts copied a cell each in their own lines, and wakeFor asked for a machine's part again for every waiting job.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -604,22 +604,22 @@
 	if len(f.rest) == 0 {
 		return
 	}
-	free := make([]Res, len(ks))
+	free, parts := make([]Res, len(ks)), make([]string, len(ks))
 	for i, k := range ks {
-		free[i] = k.free
+		free[i], parts[i] = k.free, part(k)
 	}
 	wide := c.wide()
 	for _, p := range pend {
 		if whole(p.sp) || p.j == nil {
 			continue
 		}
-		left := int64(p.n)
+		left, home := int64(p.n), c.homeOf(p.j)
 		for _, resting := range [2]bool{false, true} {
 			for i, k := range ks {
 				if left == 0 {
 					break
 				}
-				if f.rest[k.Name] != resting || wide && part(k) != c.homeOf(p.j) || !c.fits(p.sp, k.Type, k.Zone, k.Spot) {
+				if f.rest[k.Name] != resting || wide && parts[i] != home || !c.fits(p.sp, k.Type, k.Zone, k.Spot) {
 					continue
 				}
 				n := free[i].Times(p.sp.Need, left)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -121,12 +121,7 @@
 			return
 		}
 		if i, ok := j.first(f[1:]); ok && keyOf(j, i) == key {
-			from, to := j.cell(i)
-			ch := make([]Task, to-from)
-			if j.Tasks != nil {
-				copy(ch, j.Tasks[from:to])
-			}
-			d.chunks[ref{j.ID, from}] = ch
+			d.chunks[j.ref(i)] = j.cellTasks(i)
 			d.keys[key] = true
 			d.bytes += c.valueBytes(key)
 			d.cond(key)
@@ -160,6 +155,16 @@
 	return ref{j.ID, from}
 }
 
+// cellTasks copies the records of the cell with task i.
+func (j *Job) cellTasks(i int) []Task {
+	from, to := j.cell(i)
+	ch := make([]Task, to-from)
+	if j.Tasks != nil {
+		copy(ch, j.Tasks[from:to])
+	}
+	return ch
+}
+
 // room tells whether the change of one more task of j may still go in: one
 // chunk, one header and one team at most. grows: the value may get longer.
 func (d *draft) room(j *Job, i int, header, grows bool) bool {
@@ -320,11 +325,7 @@
 			d.move(j, q)
 		}
 		if ch = d.chunks[r]; ch == nil {
-			from, to := j.cell(i)
-			ch = make([]Task, to-from)
-			if j.Tasks != nil {
-				copy(ch, j.Tasks[from:to])
-			}
+			ch = j.cellTasks(i)
 			d.chunks[r] = ch
 		}
 		// While a value is too large, jobs may leave it without a change of its
