Idle work yields; large arrays keep no machines from others and few values in change

Ruled out: changes a second as such (commits carried 1 to 3 tasks once values were kept to one owner), team limits, rents (all machines were rented by 90 s).

Now only gangs and zone-bound jobs have machines held; tasks that share a value go to one owner's machines; releases leave a quarter of a commit's bytes to bookings; single idle tasks are stopped for others that wait on their machine, count in no load or backlog of these, and have only spot machines rented. Larger lots for the array (256) are not yet measured.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,7 @@
 	formatAt   time.Duration // no announcement before
 	fell       bool          // a refusal showed that values must be smaller now
 	led        bool          // rate is that of a leader
+	largeTurn  bool          // large arrays went first in the last plan
 	relTurn    bool          // the next releases go by how much their values have to change
 	strict     bool          // the next draft keeps room for the longest texts
 	splitTurn  bool          // the next commit brings a value to its new size
@@ -99,6 +100,7 @@
 	names   []string // of mach, sorted; nil: to be made anew
 	placed  map[TaskID]string
 	doomed  map[doom]bool
+	yielded map[doom]bool           // bookings to be stopped for tasks that wait on the same machine
 	held    map[string]*heldCheckin // by machine
 	touched map[string]bool         // machines whose held check-in is to be looked at again
 	heldAt  time.Duration           // no walk over all held check-ins before
@@ -127,8 +129,9 @@
 	invEpoch  uint64
 	kinds     map[option]int64 // machines of the inventory by kind
 	mean      float64
-	meanAt    time.Duration // < 0: none
-	waitIn    map[string]int64
+	meanAt    time.Duration    // < 0: none
+	waitIn    map[string]int64 // tasks that wait, by part, less those that yield
+	waitIdle  map[string]int64 // those that yield
 	waitAll   int64
 	others    map[string]bool          // other parts' values that wait for a change from here
 	lastOther string                   // the last one that was changed
@@ -181,7 +184,7 @@
 		st: newStore(), fenceAt: -1, readAt: -1, grantAt: -1, watchSent: -1, usableAt: -1, downSince: -1, invAt: -1, meanAt: -1, waitAt: -1, metAt: -1,
 		commits: map[uint64]*pendingCommit{}, subs: map[string]bool{}, reads: map[uint64]EvSubmit{},
 		bounces: map[string][]bounce{}, offSince: map[string]time.Duration{},
-		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{},
+		mach: map[string]*Machine{}, placed: map[TaskID]string{}, doomed: map[doom]bool{}, yielded: map[doom]bool{},
 		held: map[string]*heldCheckin{}, touched: map[string]bool{}, peers: map[string]*peerView{},
 		giveJob: map[string]string{}, keepJob: map[string]bool{},
 		giveTo: map[TaskID]string{}, runs: map[string]*runStat{},
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -378,7 +378,7 @@
 	came := map[string]int{}
 	for _, j := range c.st.open {
 		sp := j.H.Spec
-		if whole(sp) {
+		if holdsMachines(sp) {
 			c.fleet.wholeSeen[sp.Class] = wholeSeen{sp, c.now}
 			if c.now-time.Duration(j.seenAt) < tuning.RateWindow {
 				came[sp.Class] += j.H.N
@@ -442,10 +442,10 @@
 			ok := true
 			for id := range c.st.byMach[k.Name] {
 				sp := c.st.jobs[id.Job].H.Spec
-				if sp != nil && whole(sp) {
+				if sp != nil && holdsMachines(sp) {
 					f.ranWhole[k.Name] = c.now
 				}
-				if sp == nil || whole(sp) || sp.Shape == Service {
+				if sp == nil || holdsMachines(sp) || sp.Shape == Service {
 					ok = false
 					break
 				}
@@ -541,8 +541,8 @@
 	}
 	for _, p := range pend {
 		switch {
-		case whole(p.sp):
-		case wide && p.j != nil:
+		case holdsMachines(p.sp):
+		case wide && p.j != nil && !largeArray(p.sp):
 			n := c.homeOf(p.j)
 			wants[n] = wants[n].Plus(p.sp.Need, int64(p.n))
 		default:
@@ -670,6 +670,7 @@
 	type slot struct {
 		k    known
 		free Res
+		idle Res // held by tasks that yield
 	}
 	var slots []slot
 	leaving := c.leaving()
@@ -677,7 +678,7 @@
 		if k.mark.State != "" || leaving[k.Name] || k.Status == "failed" || !k.up && k.Status == "running" && k.busy > 0 {
 			continue
 		}
-		slots = append(slots, slot{k, k.free})
+		slots = append(slots, slot{k, k.free, c.st.occ[k.Name].idle.used})
 	}
 	type plan struct {
 		o    option
@@ -690,8 +691,18 @@
 			pend = append(pend, need{f.wholeSeen[class].sp, n, nil})
 		}
 	}
-	// Whole machines first: small tasks find room in what is left.
-	sort.SliceStable(pend, func(a, b int) bool { return whole(pend[a].sp) && !whole(pend[b].sp) })
+	// Whole machines first: small tasks find room in what is left, and those that
+	// yield in what these leave.
+	rank := func(p need) int {
+		switch {
+		case yields(p.sp):
+			return 2
+		case holdsMachines(p.sp):
+			return 0
+		}
+		return 1
+	}
+	sort.SliceStable(pend, func(a, b int) bool { return rank(pend[a]) < rank(pend[b]) })
 	// Slots that fall free before a new machine could start a task need no
 	// new machine.
 	busy := 0
@@ -707,8 +718,12 @@
 			if left == 0 {
 				break
 			}
-			if c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) && (whole(p.sp) || !f.hold[slots[s].k.Name]) {
-				n := slots[s].free.Times(p.sp.Need, left)
+			if c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) && (holdsMachines(p.sp) || !f.hold[slots[s].k.Name]) {
+				room := slots[s].free
+				if !yields(p.sp) {
+					room = room.Plus(slots[s].idle, 1)
+				}
+				n := room.Times(p.sp.Need, left)
 				slots[s].free = slots[s].free.Plus(p.sp.Need, -n)
 				left -= n
 			}
@@ -723,7 +738,7 @@
 				left -= n
 			}
 		}
-		if !whole(p.sp) && (p.j == nil || !c.starves(p.j)) {
+		if !holdsMachines(p.sp) && (p.j == nil || !c.starves(p.j)) {
 			n := min(left, int64(credit))
 			credit -= int(n)
 			left -= n
@@ -804,6 +819,9 @@
 				if spot && !sp.Spot || sp.Zone != "" && z != sp.Zone || c.now < c.fleet.pauses[o].till {
 					continue
 				}
+				if !spot && sp.Spot && yields(sp) {
+					continue // idle work takes ordinary machines only while others leave them empty
+				}
 				p := fl.Price / k
 				if spot {
 					p = fl.Spot / k
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -15,12 +15,7 @@
 	if !c.isLeader() {
 		return
 	}
-	var js []*Job
-	for _, j := range c.st.open {
-		if whole(j.H.Spec) && j.nQ > 0 && int64(c.now) >= j.hold {
-			js = append(js, j)
-		}
-	}
+	js := c.waitingJobs(func(sp *Spec) bool { return whole(sp) && !largeArray(sp) })
 	if len(js) == 0 {
 		return
 	}
@@ -143,7 +138,6 @@
 			cnt[z] = n
 		}
 		team := d.teamUsed(sp.Team)
-		lim := c.cfg.Teams[sp.Team].Max
 		ok := func(m inv) bool {
 			if sp.OneZone && only != "" && m.zone != only || sp.Spread && cnt[m.zone] >= most {
 				return false
@@ -158,27 +152,15 @@
 				cand = append(cand, m)
 			}
 		}
-		sort.SliceStable(cand, func(a, b int) bool {
-			x, y := cand[a], cand[b]
-			if i, k := x.has(sp.Image), y.has(sp.Image); i != k {
-				return i
-			}
-			if h, k := c.fleet.hold[x.name], c.fleet.hold[y.name]; h != k {
-				return h
-			}
-			if x.spot != y.spot {
-				return x.spot
-			}
-			return len(c.st.byMach[x.name]) > len(c.st.byMach[y.name])
-		})
+		slices.SortStableFunc(cand, func(a, b inv) int { return c.comparePlaces(sp, &a, &b) })
 		for i := 0; i < sp.N; i++ {
 			if j.task(i).State != Queued || d.changed[TaskID{j.ID, i}] {
 				continue
 			}
-			if sp.Shape != Gang && (len(ps) >= 64 || j.doubtful() && j.nB+len(ps) > 0) {
+			if sp.Shape != Gang && (len(ps) >= tuning.TasksAtOnce || j.doubtful() && j.nB+len(ps) > 0) {
 				break
 			}
-			if team = team.Plus(sp.Need, 1); !within(team, lim) || claims[sp.Team].gangs && !claims[sp.Team].leavesFirst(sp.ID, team, lim) {
+			if team = team.Plus(sp.Need, 1); !c.wholeAllowed(sp, team, claims) {
 				break
 			}
 			found := false
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -303,7 +303,7 @@
 		if j.H.Halt >= t.Attempt && j.H.Halt > 0 {
 			continue
 		}
-		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] && c.guard(GuardDoom) || m.recallAt >= 0 || c.evicted(m.Name) && !whole(j.H.Spec) || !c.gangWhole(j, t) {
+		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] && c.guard(GuardDoom) || m.recallAt >= 0 || c.yielded[k] || c.evicted(m.Name) && !holdsMachines(j.H.Spec) || !c.gangWhole(j, t) {
 			continue
 		}
 		m.sent[k] = tally
@@ -332,7 +332,7 @@
 		return o, j.H.Halt >= t.Attempt && s.State != SeenSaving
 	}
 	switch {
-	case c.evicted(m.Name) && !whole(sp):
+	case c.evicted(m.Name) && !holdsMachines(sp), c.yielded[doom{s.Task, s.Attempt}]:
 		o.Leeway = sp.Save + 2
 		return o, s.State != SeenSaving
 	case m.recallAt >= 0:
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -148,19 +148,20 @@
 }
 
 // load is L/mu: tasks queued and booked over the smoothed service rate of all
-// slots, in seconds.
+// slots, in seconds. Tasks that yield delay no others and don't count.
 func (c *Core) load(m *Machine) float64 {
 	f := c.flavor(m.Type)
 	if f == nil {
 		return 0
 	}
 	o := c.st.occ[m.Name]
-	l, need, run := o.n, o.used, o.run // whole ms: sums don't depend on order
+	// Whole ms: sums don't depend on order.
+	l, need, run := o.n-o.idle.n, o.used.Plus(o.idle.used, -1), o.run-o.idle.run
 	for _, id := range m.queue {
 		if c.placed[id] != m.Name {
 			continue
 		}
-		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil {
+		if j := c.st.jobs[id.Job]; j != nil && j.H.Spec != nil && !yields(j.H.Spec) {
 			l++
 			need = need.Plus(j.H.Spec.Need, 1)
 			run += int64(1000 * c.runTime(j.H.Spec))
@@ -255,12 +256,13 @@
 	ts := make([]target, len(mine))
 	for i, m := range mine {
 		f := c.flavor(m.Type)
-		ts[i] = target{m: m, f: f, load: c.load(m), free: c.free(m.Name, f.Size, nil), queued: int64(c.queueLen(m)), pend: c.coming(m)}
+		ts[i] = target{m: m, f: f, load: c.load(m), free: c.free(m.Name, f.Size, nil), idle: c.st.occ[m.Name].idle.used,
+			queued: int64(c.queueLen(m)), pend: c.coming(m)}
 	}
 	c.setScarce(ts)
 	wide := c.wide()
 	c.poolRun = 0
-	room, roomy := c.newTeamRoom(), map[Res][]*target{}
+	room, roomy := c.newTeamRoom(), map[taskKind][]*target{}
 	js := c.byUrgency()
 	for _, r := range placeRounds(wide && len(ts) > 0 && ts[0].scarce) {
 		for _, j := range js {
@@ -281,7 +283,7 @@
 					continue
 				}
 				if !full && cs == nil {
-					cs = c.choices(j, c.roomy(roomy, j.H.Spec.Need, ts), r.cached)
+					cs = c.choices(j, c.roomy(roomy, c.kindOf(j), ts), r.cached)
 				}
 				if full || !room.fits(j.H.Spec) || !c.place(j, id, t, cs, ts) {
 					full = true
@@ -305,6 +307,7 @@
 		}
 	}
 	c.stealLocal(mine)
+	c.decideYields(mine)
 	if c.now-c.stealAt >= tuning.DrawEvery/2 {
 		c.stealAt = c.now
 		c.stealRemote(mine)
@@ -334,6 +337,7 @@
 	f      *Flavor
 	load   float64
 	free   Res
+	idle   Res // held by tasks that yield to all others
 	queued int64
 	pend   []string // images on their way or about to be
 	scarce bool     // more waits than there is room for
@@ -364,9 +368,9 @@
 // packCost makes draws prefer fuller and cheaper machines among those where a task starts
 // at once: it runs as fast on any of them, but a machine that stays empty can
 // be returned, and a full one fetches each image once for many.
-func (c *Core) packCost(t *target, sp *Spec, cheap float64) float64 {
+func (c *Core) packCost(t *target, sp *Spec, kind taskKind, cheap float64) float64 {
 	all := t.f.Size.Times(sp.Need, 64)
-	room := t.free.Times(sp.Need, 64) - t.queued
+	room := t.roomFor(kind).Times(sp.Need, 64) - t.queued
 	if room <= 0 || all == 0 {
 		return 0
 	}
@@ -616,8 +620,9 @@
 
 // weigh fills in what a target costs a task of the job now; false: the mask
 // takes it out.
-func (c *Core) weigh(x *choice, t *target, sp *Spec, cheap float64) bool {
-	if t.full(sp.Need) {
+func (c *Core) weigh(x *choice, t *target, j *Job, cheap float64) bool {
+	sp, kind := j.H.Spec, c.kindOf(j)
+	if t.full(kind) {
 		return false
 	}
 	x.load, x.cost = t.load, 0
@@ -631,35 +636,61 @@
 			x.cost = fetch * (1 + tuning.FetchShare*others)
 		}
 	}
-	x.cost += c.packCost(t, sp, cheap)
+	x.cost += c.packCost(t, sp, kind, cheap)
 	return true
 }
 
-// roomy are the targets whose queues still take a task of that size. Where every
+// taskKind is what decides whether a machine's queue takes a task.
+type taskKind struct {
+	need   Res
+	yields bool
+}
+
+// kindOf is the kind of a job's tasks. Those of a starving job wait in queues like all
+// others, or none of them might ever begin.
+func (c *Core) kindOf(j *Job) taskKind {
+	return taskKind{j.H.Spec.Need, yields(j.H.Spec) && !c.starves(j)}
+}
+
+// roomy are the targets whose queues still take a task of that kind. Where every
 // slot is wanted these are few, while hundreds of jobs ask for them in one plan.
-func (c *Core) roomy(known map[Res][]*target, need Res, ts []target) []*target {
-	l, ok := known[need]
+func (c *Core) roomy(known map[taskKind][]*target, kind taskKind, ts []target) []*target {
+	l, ok := known[kind]
 	if !ok {
 		for i := range ts {
-			if ts[i].f.Size.Holds(need) {
+			if ts[i].f.Size.Holds(kind.need) {
 				l = append(l, &ts[i])
 			}
 		}
 	}
 	keep := l[:0]
 	for _, t := range l {
-		if !t.full(need) {
+		if !t.full(kind) {
 			keep = append(keep, t)
 		}
 	}
-	known[need] = keep
+	known[kind] = keep
 	return keep
 }
 
+// roomFor is the room that a task can have on the machine: what is free, and for
+// tasks that don't yield themselves what those hold that do.
+func (t *target) roomFor(kind taskKind) Res {
+	if kind.yields {
+		return t.free
+	}
+	return t.free.Plus(t.idle, 1)
+}
+
 // full: queues are small; what can't start soon waits in the part's pool, where
-// the order can still change.
-func (t *target) full(need Res) bool {
-	return t.queued >= t.free.Times(need, 64)+tuning.QueueDepth
+// the order can still change. A task that yields is queued only where it starts at
+// once: waiting there it would go ahead of others that come later.
+func (t *target) full(kind taskKind) bool {
+	depth := int64(tuning.QueueDepth)
+	if kind.yields {
+		depth = 0
+	}
+	return t.queued >= t.roomFor(kind).Times(kind.need, 64)+depth
 }
 
 // choices are this part's machines that may take a task of the job.
@@ -676,7 +707,7 @@
 			continue
 		}
 		x := choice{name: t.m.Name, m: t.m, t: t}
-		if c.weigh(&x, t, sp, cheap) {
+		if c.weigh(&x, t, j, cheap) {
 			cs = append(cs, x)
 		}
 	}
@@ -727,7 +758,7 @@
 	x.load = c.load(m)
 	cheap := c.leastPrice(sp)
 	for i := range all {
-		if all[i].m == m && !c.weigh(&all[i], x, sp, cheap) {
+		if all[i].m == m && !c.weigh(&all[i], x, j, cheap) {
 			all[i].m = nil // the mask takes it out
 			all[i].load, all[i].cost = math.Inf(1), 0
 		}
@@ -744,7 +775,7 @@
 	for _, p := range c.peers {
 		n += len(p.machines)
 	}
-	c.sentTo("")
+	c.countWaiting()
 	return n > tuning.WideFleet || c.waitAll > tuning.WideBacklog
 }
 
@@ -1078,7 +1109,11 @@
 	room, slots := map[string]int64{}, map[string]int64{}
 	for _, m := range c.inventory() {
 		if f := c.flavor(m.typ); f != nil && c.fits(sp, m.typ, m.zone, m.spot) && !c.kept(m.name) {
-			room[m.owner] += c.free(m.name, f.Size, nil).Times(sp.Need, int64(sp.N))
+			free := c.free(m.name, f.Size, nil)
+			if !yields(sp) {
+				free = free.Plus(c.st.occ[m.name].idle.used, 1)
+			}
+			room[m.owner] += free.Times(sp.Need, int64(sp.N))
 			slots[m.owner] += f.Size.Times(sp.Need, 64)
 		}
 	}
@@ -1093,7 +1128,7 @@
 		// What waits there is not in the bookings yet. Parts without room are
 		// compared by what waits for each of their slots: otherwise all jobs
 		// would go to the one whose backlog happens to be shortest.
-		left := room[n] - c.sentTo(n)
+		left := room[n] - c.sentTo(n, sp)
 		v := float64(min(left, int64(sp.N)))*1000 - load
 		if c.wide() {
 			v = float64(left) / float64(max(slots[n], 1))
@@ -1101,7 +1136,7 @@
 				// Several parts have room for all of it. By load alone every node would
 				// send all small jobs to the same one for seconds, and that one has
 				// only its own part of the changes to book them with.
-				v = 1e6 - float64(c.sentTo(n)) + float64(hash64(sp.ID, n)%1000)/1000
+				v = 1e6 - float64(c.sentTo(n, sp)) + float64(hash64(sp.ID, n)%1000)/1000
 			}
 		}
 		if v > bestV {
@@ -1111,22 +1146,38 @@
 	return best
 }
 
-// sentTo counts the tasks of open jobs that wait in a part, less those of jobs
-// late beyond all aims, which others go ahead of.
-func (c *Core) sentTo(part string) int64 {
-	if c.waitAt < 0 || c.now-c.waitAt > c.pace()/2 {
-		c.waitAt = c.now
-		c.waitIn, c.waitAll = map[string]int64{}, 0
-		for _, j := range c.st.open {
-			if j.nQ > 0 && !whole(j.H.Spec) {
-				c.waitAll += int64(j.nQ)
-				if !j.late {
-					c.waitIn[c.homeOf(j)] += int64(j.nQ)
-				}
-			}
+// sentTo counts the tasks that wait in a part and go ahead of those of a job, or may:
+// not those of jobs late beyond all aims, and not those that yield to it. Counted
+// with these, the parts that a guest's idle work was sent to got no other work for
+// minutes, and a fifth of the machines ran nothing else.
+func (c *Core) sentTo(part string, sp *Spec) int64 {
+	c.countWaiting()
+	n := c.waitIn[part]
+	if yields(sp) {
+		n += c.waitIdle[part]
+	}
+	return n
+}
+
+// countWaiting sums up the tasks of open jobs that wait, by part.
+func (c *Core) countWaiting() {
+	if c.waitAt >= 0 && c.now-c.waitAt <= c.pace()/2 {
+		return
+	}
+	c.waitAt = c.now
+	c.waitIn, c.waitIdle, c.waitAll = map[string]int64{}, map[string]int64{}, 0
+	for _, j := range c.st.open {
+		if j.nQ == 0 || whole(j.H.Spec) {
+			continue
+		}
+		c.waitAll += int64(j.nQ)
+		switch {
+		case yields(j.H.Spec):
+			c.waitIdle[c.homeOf(j)] += int64(j.nQ)
+		case !j.late:
+			c.waitIn[c.homeOf(j)] += int64(j.nQ)
 		}
 	}
-	return c.waitIn[part]
 }
 
 // inv is a machine that some node hears.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -34,6 +34,7 @@
 	only    string // the one value of another part that this draft may change; "": none, but its own
 	most    int    // changes that the present stage may fill the draft up to
 	bytes   int
+	maxB    int // bytes that the present stage may fill the draft up to
 	notes   []func()
 	used    map[string]Res // bookings of this draft, by machine
 	changed map[TaskID]bool
@@ -44,7 +45,7 @@
 
 func (c *Core) newDraft() *draft {
 	d := &draft{
-		c: c, most: c.cfg.TxnOps, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
+		c: c, most: c.cfg.TxnOps, maxB: tuning.TxnBytes, heads: map[string]*Header{}, chunks: map[ref][]Task{}, keys: map[string]bool{}, add: map[string]int{},
 		teams: map[string]Team{}, mine: map[string]Res{}, conds: map[string]bool{}, drop: map[string]bool{},
 		machs: map[string]bool{}, used: map[string]Res{}, changed: map[TaskID]bool{}, moved: map[string]string{}, leave: map[string]string{},
 	}
@@ -219,7 +220,7 @@
 			more++
 		}
 	}
-	if n > d.most || b > tuning.TxnBytes || 1+len(d.conds)+more > 4*d.c.cfg.TxnOps {
+	if n > d.most || b > d.maxB || 1+len(d.conds)+more > 4*d.c.cfg.TxnOps {
 		return false
 	}
 	if leave != "" {
@@ -614,15 +615,23 @@
 		c.planBookings(d)
 		return
 	}
-	// A transaction takes few changes. Each stage leaves some to those after
-	// it: finishes alone, of many jobs, would fill one after the other.
+	// A transaction takes few changes and bytes. Each stage leaves some to those
+	// after it: finishes alone, of many jobs, would fill one after the other. Large
+	// arrays go before other jobs' tasks and after them in turns.
 	c.planHalts(d)
 	d.most = min(c.cfg.TxnOps, max(4, c.cfg.TxnOps-2))
 	c.planGangs(d)
+	if c.largeTurn = !c.largeTurn; c.largeTurn {
+		c.planLargeArrays(d)
+	}
 	d.most = min(c.cfg.TxnOps, max(d.ops()+2, c.cfg.TxnOps-c.cfg.TxnOps/4))
+	d.maxB = max(d.bytes, tuning.TxnBytes-tuning.TxnBytes/4)
 	c.planReleases(d)
-	d.most = c.cfg.TxnOps
+	d.most, d.maxB = c.cfg.TxnOps, tuning.TxnBytes
 	c.planBookings(d)
+	if !c.largeTurn {
+		c.planLargeArrays(d)
+	}
 	c.planHandover(d)
 	d.settleTeams()
 }
@@ -770,7 +779,7 @@
 			// has lost its sense.
 			if !there && !c.doomed[doom{id, t.Attempt}] && m.shift == t.Shift && m.deadShift < t.Shift && mark.State != MarkGone &&
 				j.H.State == JobOpen && m.recallAt < 0 && mark.State == "" && c.gangWhole(j, t) &&
-				!(c.evicted(name) && !whole(j.H.Spec)) && (j.H.Halt == 0 || j.H.Halt < t.Attempt) {
+				!c.yielded[doom{id, t.Attempt}] && !(c.evicted(name) && !holdsMachines(j.H.Spec)) && (j.H.Halt == 0 || j.H.Halt < t.Attempt) {
 				continue
 			}
 			if c.shun(j, id.I) {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -139,8 +139,16 @@
 	used  Res
 	n     int
 	run   int64 // expected run times, ms
-	whole int   // tasks of jobs placed whole
+	whole int   // tasks of jobs that the leader keeps machines for
 	zone  string
+	idle  share // of all these: tasks that may be stopped for any other (yields)
+}
+
+// share is a part of what is booked on a machine.
+type share struct {
+	used Res
+	n    int
+	run  int64 // ms
 }
 
 // booking is what this node remembers of a booking.
@@ -240,9 +248,14 @@
 	o.used = o.used.Plus(sp.Need, k)
 	o.n += int(k)
 	o.run += k * c.booked[id].run
-	if whole(sp) {
+	if holdsMachines(sp) {
 		o.whole += int(k)
 	}
+	if yields(sp) {
+		o.idle.used = o.idle.used.Plus(sp.Need, k)
+		o.idle.n += int(k)
+		o.idle.run += k * c.booked[id].run
+	}
 	o.zone = t.Zone
 	c.st.occ[t.Machine] = o
 	by := c.st.sums[sp.Team]
--- /dev/null
+++ b/internal/standin/guests_test.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"brassglade/internal/core"
+	"brassglade/internal/tuning"
+)
+
+// withGuest is the small deployment with a further team that has neither guarantee
+// nor limit.
+func withGuest(seed uint64, fill int) *World {
+	set := Settings()
+	set.Teams["guest"] = core.Limits{}
+	w := New(seed, set)
+	w.fill = fill
+	w.Watchful()
+	return w
+}
+
+// firstRuns tells when each task first ran, in seconds, by the trace.
+func (w *World) firstRuns(job string) []float64 {
+	first := map[string]float64{}
+	for _, l := range w.Trace {
+		var at float64
+		var task string
+		if n, _ := fmt.Sscanf(l, "%f %s", &at, &task); n != 2 || !strings.HasPrefix(task, job+"/") || !strings.Contains(l, " runs on ") {
+			continue
+		}
+		if _, ok := first[task]; !ok {
+			first[task] = at
+		}
+	}
+	var times []float64
+	for _, at := range first {
+		times = append(times, at)
+	}
+	slices.Sort(times)
+	return times
+}
+
+// TestIdleWorkYields: a guest's array of idle priority fills all machines with tasks
+// of five minutes. Other teams' jobs start as soon as some of these have saved, no
+// ordinary machine is rented for the guest, and all its tasks are done in the end.
+func TestIdleWorkYields(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		w := withGuest(seed, 2)
+		idle := core.Spec{ID: "job-000001", Class: "sims", Team: "guest", Shape: core.Array, Prio: tuning.PrioIdle, N: 40,
+			Need: core.Res{CPU: 4000, Mem: 8000}, Spot: true, Image: "sims", ImageGB: 1, Est: 300, Ckpt: 10, Save: 2}
+		w.after(2*time.Second, func() { w.Submit(idle, 300*time.Second) })
+		w.Run(59 * time.Second)
+		if n := len(w.firstRuns(idle.ID)); n < 16 {
+			t.Fatalf("seed %d: only %d idle tasks ran", seed, n)
+		}
+		for _, k := range w.workers {
+			if !k.spot {
+				t.Errorf("seed %d: an ordinary machine was rented for idle work", seed)
+			}
+		}
+		const jobs = 8
+		for i := 0; i < jobs; i++ {
+			sp := core.Spec{ID: fmt.Sprintf("job-%06d", 100+i), Class: "c", Team: "blue", Shape: core.Array, Prio: 1, N: 2,
+				Need: core.Res{CPU: 4000, GPU: 1000, Mem: 4000}, Spot: true, Image: "img", ImageGB: 1, Est: 20}
+			w.after(time.Duration(60+8*i)*time.Second-w.Now, func() { w.Submit(sp, 20*time.Second) })
+		}
+		w.Run(1500 * time.Second)
+		for i := 0; i < jobs; i++ {
+			job := fmt.Sprintf("job-%06d", 100+i)
+			starts := w.firstRuns(job)
+			if len(starts) < 2 || starts[1]-float64(60+8*i) > 15 {
+				t.Errorf("seed %d: %s ran at %v, submitted at %d", seed, job, starts, 60+8*i)
+			}
+		}
+		if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+			t.Errorf("seed %d: broken %v, unfinished %v", seed, w.Broken, w.Unfinished())
+		}
+	}
+}
+
+// TestLargeArrayLeavesChanges: a guest's array of thousands of short tasks runs on the
+// machines of a grown deployment. The releases of its tasks must leave room in the
+// commits for the bookings of the other teams' jobs, which go on starting.
+func TestLargeArrayLeavesChanges(t *testing.T) {
+	w := grown(5, 60, func(s *core.Settings) { s.Teams["guest"] = core.Limits{} })
+	w.feed(500, 350*time.Millisecond)
+	array := core.Spec{ID: "job-900001", Class: "sweep", Team: "guest", Shape: core.Array, Prio: tuning.PrioIdle, N: 12000,
+		Need: core.Res{CPU: 250, Mem: 900}, Spot: true, Image: "sweep", ImageGB: 0.5, Est: 5}
+	w.Run(60 * time.Second)
+	before := w.Starts()
+	w.Run(80 * time.Second)
+	quiet := w.Starts() - before
+	w.Submit(array, 5*time.Second)
+	w.Run(100 * time.Second)
+	before, guests := w.Starts(), len(w.firstRuns(array.ID))
+	w.Run(140 * time.Second)
+	guests = len(w.firstRuns(array.ID)) - guests
+	others := w.Starts() - before - guests
+	t.Logf("others' starts in 20 s: %d alone, %d beside the array, of which %d tasks started in 40 s", quiet, others/2, guests)
+	if others < quiet || guests < 1000 {
+		t.Errorf("beside the array %d tasks of others started in 40 s, %d in 20 s before it; %d tasks of the array", others, quiet, guests)
+	}
+	if len(w.Broken) > 0 {
+		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -278,8 +278,16 @@
 	SeedRun = 60.0
 	// QueuedPerJob bounds a job's tasks in machine queues at one time.
 	QueuedPerJob = 128
+	// PrioIdle is the lowest priority, by the protocol.
+	PrioIdle = 0
 	// LargeJob is the number of tasks from which the leader places a job.
 	LargeJob = 1000
+	// TasksAtOnce bounds the tasks of a job placed whole, other than a gang, that one
+	// plan books: others' bookings wait for the same plan.
+	TasksAtOnce = 64
+	// LargeAtOnce is the same for large arrays, whose tasks share values by the
+	// hundred: booked in large lots they also end together, and take fewer changes.
+	LargeAtOnce = 256
 	// QueueDepth is how many tasks a machine's queue takes beyond those that
 	// fit at once; the rest is held back in the part's pool.
 	QueueDepth = 1
