--- a/internal/api/user.go
+++ b/internal/api/user.go
@@ -15,7 +15,7 @@
 // a zero; Builds, Yard, DueS and Awaits may be null or missing. Names that are
 // written into every change of a job's header have a bound.
 type submission struct {
-	NameId    *string   `json:"NameId" validate:"required"`
+	NameID    *string   `json:"NameId" validate:"required"`
 	Docket    *string   `json:"Docket" validate:"required,min=1,max=200"`
 	Crew      *string   `json:"Crew" validate:"required,min=1"`
 	Shape     *string   `json:"Shape" validate:"required,oneof=batch group daemon"`
@@ -39,7 +39,7 @@
 }
 
 type jobAnswer struct {
-	NameId  string `json:"NameId"`
+	NameID  string `json:"NameId"`
 	Status  string `json:"Status"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -25,7 +25,7 @@
 }
 
 type bracket struct {
-	NameId  string  `json:"NameId"`
+	NameID  string  `json:"NameId"`
 	Address string  `json:"Address"`
 	Build   string  `json:"Build"`
 	Yard    string  `json:"Yard"`
@@ -83,9 +83,9 @@
 			return core.EvList{}
 		}
 		for _, b := range r.Brackets {
-			ev.L = append(ev.L, core.Inst{Name: b.NameId, Addr: b.Address, Type: b.Build, Zone: b.Yard,
+			ev.L = append(ev.L, core.Inst{Name: b.NameID, Addr: b.Address, Type: b.Build, Zone: b.Yard,
 				Spot: b.Loaners, Status: b.Status, Held: b.HeldS})
-			after = b.NameId
+			after = b.NameID
 		}
 		if !r.Truncated || len(r.Brackets) == 0 {
 			return ev
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,9 +82,9 @@
 			ListLagS float64 `json:"list_lag_s" validate:"gte=0,lte=1000000"`
 		} `json:"cloud"`
 		MachineLimits struct {
-			CPU   float64 `json:"cpu" validate:"gte=0"`
-			RamMb float64 `json:"ram_mb" validate:"gte=0"`
-			Conns int     `json:"max_connections" validate:"gte=0"`
+			CPU      float64 `json:"cpu" validate:"gte=0"`
+			MemoryMB float64 `json:"ram_mb" validate:"gte=0"`
+			Conns    int     `json:"max_connections" validate:"gte=0"`
 		} `json:"machine_limits"`
 		SkewMs float64 `json:"skew_ms" validate:"gte=0"`
 	} `json:"params"`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,7 +107,6 @@
 	peers   map[string]*peerView
 	drawAt  time.Duration
 	stealAt time.Duration
-	give    []TaskID // tasks to hand over, with c.giveTo
 	giveTo  map[TaskID]string
 	giveJob map[string]string // untouched jobs to pass whole
 	keepJob map[string]bool   // drew to stay in this part
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	inc := hex.EncodeToString(id[:])
-	if m := s.Params.MachineLimits.RamMb; m > 0 {
+	if m := s.Params.MachineLimits.MemoryMB; m > 0 {
 		debug.SetMemoryLimit(int64(m * tuning.MemoryShare * (1 << 20)))
 	}
 	debug.SetGCPercent(tuning.GCPercent)
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -202,26 +202,9 @@
 		}
 		w.calm = max(w.calm, w.Now+max(dur("for", 0), dur("back", 0), dur("in", 0)))
 	}
-	_, spot := opt["spot"]
-	_, oneZone := opt["onezone"]
 	switch f[0] {
 	case "submit":
-		n, err := strconv.Atoi(f[3])
-		if err != nil {
-			return err
-		}
-		var needs []string
-		if l := opt["awaits"]; l != "" {
-			needs = strings.Split(l, ",")
-		}
-		_, mistake := opt["mistake"]
-		defer func() { w.jobs[f[1]].mistake = mistake }()
-		w.Submit(core.Spec{
-			Needs: needs, Due: num("due", 0),
-			ID: f[1], Class: "c", Team: f[4], Shape: core.Shape(f[2]), Prio: int(num("prio", 1)), N: n,
-			Need: core.Res{CPU: int64(1000 * num("cpu", 2)), GPU: int64(1000 * num("gpu", 1)), Mem: 4000},
-			Spot: spot, OneZone: oneZone, Zone: opt["zone"], Image: "img", ImageGB: 1, Est: num("run", 20), Ckpt: num("ckpt", 0), Save: 2,
-		}, dur("run", 20))
+		return w.submitLine(f, opt, num, dur)
 	case "cancel":
 		if w.jobs[f[1]] == nil {
 			w.log("no job %s", f[1])
@@ -291,43 +274,71 @@
 		w.cl.up = false
 		w.after(dur("for", 20), func() { w.cl.up = true })
 	case "hang", "take", "notice", "sick", "deaf", "copies", "keep", "mute":
-		k := w.worker(f[1])
-		if k == nil || k.gone {
-			w.log("no machine %s", f[1])
-			return nil
-		}
-		switch f[0] {
-		case "hang":
-			k.hang(dur("for", 20))
-		case "take":
-			k.vanish("is taken")
-		case "deaf":
-			w.log("nothing reaches %s", k.name)
-			k.deafTill = w.Now + dur("for", 60)
-		case "copies":
-			w.log("copies of reports of %s come late", k.name)
-			k.copyTill, k.copyMost = w.Now+dur("for", 30), dur("most", 30)
-			w.calm = max(w.calm, k.copyTill+k.copyMost)
-		case "keep":
-			k.keepTill = w.Now + dur("for", 30)
-		case "mute":
-			w.log("%s reaches no controller", k.name)
-			k.muteTill = w.Now + dur("for", 60)
-		case "sick":
-			w.log("%s fails all it starts", k.name)
-			k.sick = true
-		case "notice":
-			w.log("%s is recalled", k.name)
-			k.recall = w.Now + dur("in", 8)
-			k.changed()
-			w.after(dur("in", 8), func() {
-				if !k.gone {
-					k.vanish("is taken")
-				}
-			})
-		}
+		w.trouble(f, dur)
 	default:
 		return fmt.Errorf("unknown action")
 	}
 	return nil
 }
+
+// submitLine submits the job that a line describes.
+func (w *World) submitLine(f []string, opt map[string]string, num func(string, float64) float64, dur func(string, float64) time.Duration) error {
+	n, err := strconv.Atoi(f[3])
+	if err != nil {
+		return err
+	}
+	var needs []string
+	if l := opt["awaits"]; l != "" {
+		needs = strings.Split(l, ",")
+	}
+	_, spot := opt["spot"]
+	_, oneZone := opt["onezone"]
+	_, mistake := opt["mistake"]
+	w.Submit(core.Spec{
+		Needs: needs, Due: num("due", 0),
+		ID: f[1], Class: "c", Team: f[4], Shape: core.Shape(f[2]), Prio: int(num("prio", 1)), N: n,
+		Need: core.Res{CPU: int64(1000 * num("cpu", 2)), GPU: int64(1000 * num("gpu", 1)), Mem: 4000},
+		Spot: spot, OneZone: oneZone, Zone: opt["zone"], Image: "img", ImageGB: 1, Est: num("run", 20), Ckpt: num("ckpt", 0), Save: 2,
+	}, dur("run", 20))
+	w.jobs[f[1]].mistake = mistake
+	return nil
+}
+
+// trouble strikes one machine.
+func (w *World) trouble(f []string, dur func(string, float64) time.Duration) {
+	k := w.worker(f[1])
+	if k == nil || k.gone {
+		w.log("no machine %s", f[1])
+		return
+	}
+	switch f[0] {
+	case "hang":
+		k.hang(dur("for", 20))
+	case "take":
+		k.vanish("is taken")
+	case "deaf":
+		w.log("nothing reaches %s", k.name)
+		k.deafTill = w.Now + dur("for", 60)
+	case "copies":
+		w.log("copies of reports of %s come late", k.name)
+		k.copyTill, k.copyMost = w.Now+dur("for", 30), dur("most", 30)
+		w.calm = max(w.calm, k.copyTill+k.copyMost)
+	case "keep":
+		k.keepTill = w.Now + dur("for", 30)
+	case "mute":
+		w.log("%s reaches no controller", k.name)
+		k.muteTill = w.Now + dur("for", 60)
+	case "sick":
+		w.log("%s fails all it starts", k.name)
+		k.sick = true
+	case "notice":
+		w.log("%s is recalled", k.name)
+		k.recall = w.Now + dur("in", 8)
+		k.changed()
+		w.after(dur("in", 8), func() {
+			if !k.gone {
+				k.vanish("is taken")
+			}
+		})
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -15,7 +15,6 @@
 	up    bool
 	hires map[string][]string
 	n     int
-	sick  map[string]bool
 }
 
 var size = core.Res{CPU: 16000, GPU: 4000, Mem: 64000}
@@ -103,31 +102,30 @@
 
 // worker is one machine.
 type worker struct {
-	w           *World
-	name, zone  string
-	spot        bool
-	born        time.Duration
-	up, gone    bool
-	goneAt      time.Duration
-	hung        bool
-	sick        bool
-	paused      []func()
-	shift       uint64
-	tally       uint64
-	baton       uint64
-	node        int
-	tasks       map[core.TaskID]*task
-	answered    time.Duration // sending time of the last answered report
-	busy        bool          // a report is in flight
-	last        time.Duration
-	recall      time.Duration
-	nextForeman string
-	last200     time.Duration // when it last got a 200
-	deafTill    time.Duration // until then nothing reaches it, though its reports arrive
-	muteTill    time.Duration // until then it reaches no controller; commands reach it
-	keepTill    time.Duration // until then its reports are kept for the next leader
-	copyTill    time.Duration // until then copies of its reports come late
-	copyMost    time.Duration
+	w          *World
+	name, zone string
+	spot       bool
+	born       time.Duration
+	up, gone   bool
+	goneAt     time.Duration
+	hung       bool
+	sick       bool
+	paused     []func()
+	shift      uint64
+	tally      uint64
+	baton      uint64
+	node       int
+	tasks      map[core.TaskID]*task
+	answered   time.Duration // sending time of the last answered report
+	busy       bool          // a report is in flight
+	last       time.Duration
+	recall     time.Duration
+	last200    time.Duration // when it last got a 200
+	deafTill   time.Duration // until then nothing reaches it, though its reports arrive
+	muteTill   time.Duration // until then it reaches no controller; commands reach it
+	keepTill   time.Duration // until then its reports are kept for the next leader
+	copyTill   time.Duration // until then copies of its reports come late
+	copyMost   time.Duration
 }
 
 func newWorker(w *World, name, zone string, spot bool) *worker {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -16,7 +16,7 @@
 	"brassglade/internal/tuning"
 )
 
-// ErrNotSent: the request was certainly not executed.
+// ErrNotSent means that the request was certainly not executed.
 var ErrNotSent = errors.New("not sent")
 
 type conn struct {
