--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -187,7 +187,7 @@
 	m.last200, m.sentBaton = c.now, 3
 	for i := uint64(2); i < 8; i++ {
 		r := &Report{Machine: m.Name, Type: "box", Zone: m.Zone, Shift: 1, Tally: i, Baton: 2, Recall: -1}
-		c.heed(m, r)
+		c.checkHeeded(m, r)
 		c.takeReport(m, r, true)
 		m.last200 = c.now
 		c.now += time.Millisecond
@@ -197,7 +197,7 @@
 	}
 	for i := uint64(8); i < 10; i++ {
 		c.now += 5 * time.Second
-		c.heed(m, &Report{Shift: 1, Tally: i, Baton: 2})
+		c.checkHeeded(m, &Report{Shift: 1, Tally: i, Baton: 2})
 	}
 	if m.unheeded != 2 {
 		t.Errorf("%d reports count as unheeded, each 5 s after an answer", m.unheeded)
--- a/internal/core/chunk_test.go
+++ b/internal/core/chunk_test.go
@@ -81,11 +81,11 @@
 					d.release(j, i, false)
 				}
 			}
-			if !c.strict && c.tooLarge(d.txn()) {
-				c.strict = true // planned anew with room for the worst (drivePlan)
+			if !c.planLongest && c.tooLarge(d.txn()) {
+				c.planLongest = true // planned anew with room for the worst (drivePlan)
 				continue
 			}
-			c.strict = false
+			c.planLongest = false
 			for _, p := range d.txn().Apply {
 				if most = max(most, len(p.Value)); len(p.Value) > c.cfg.ValueB {
 					t.Fatalf("round %d: %s has %d bytes", round, p.Key, len(p.Value))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,16 +78,16 @@
 	nextNeed int                 // lists of awaited jobs kept in pieces so far
 
 	// formats and sizes
-	formatBusy bool
-	formatAt   time.Duration // no announcement before
-	fell       bool          // a refusal showed that values must be smaller now
-	led        bool          // rate is that of a leader
-	largeTurn  bool          // large arrays went first in the last plan
-	relTurn    bool          // the next releases go by how much their values have to change
-	strict     bool          // the next draft keeps room for the longest texts
-	splitTurn  bool          // the next commit brings a value to its new size
-	stuckNow   map[string]bool
-	full       map[string]bool // values that had no room for a booking
+	formatBusy  bool
+	formatAt    time.Duration // no announcement before
+	limitsFell  bool          // a refusal showed that values must be smaller now
+	wasLeader   bool          // rate is that of a leader
+	largeTurn   bool          // large arrays went first in the last plan
+	relTurn     bool          // the next releases go by how much their values have to change
+	planLongest bool          // the next draft keeps room for the longest texts
+	splitTurn   bool          // the next commit brings a value to its new size
+	stuckNow    map[string]bool
+	full        map[string]bool // values that had no room for a booking
 
 	// view
 	proposing bool
@@ -207,8 +207,8 @@
 	c.Work.Events++
 	dt := (c.now - c.tokenAt).Seconds()
 	most := c.cfg.WriteRate * c.weight()
-	if c.led != c.isLeader() {
-		c.led = !c.led
+	if c.wasLeader != c.isLeader() {
+		c.wasLeader = !c.wasLeader
 		c.rate = most
 	}
 	c.rate = min(most, c.rate+dt*tuning.RateRegain*most)
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -94,7 +94,7 @@
 // limit fell, what is there already may be written at its size of today: jobs of
 // the version before could not go on otherwise.
 func (c *Core) bound() int {
-	if c.fell {
+	if c.limitsFell {
 		return c.cfg.ValueB
 	}
 	return max(c.cfg.ValueB, c.cfg.ValueNow)
@@ -106,8 +106,8 @@
 		if len(a.Value) > c.cfg.ValueB {
 			c.Work.TooLarge++
 			c.log(1, "value refused as too large", "key", a.Key, "bytes", len(a.Value), "count", c.Work.TooLarge)
-			if !c.fell {
-				c.fell = true
+			if !c.limitsFell {
+				c.limitsFell = true
 				c.log(1, "the state service's limits fell", "value_bytes", c.cfg.ValueB)
 			}
 		}
@@ -127,7 +127,7 @@
 // stuck tells whether a value can't be written again as it is: it is too large,
 // and would be without the texts of jobs that moved or ended, too.
 func (c *Core) stuck(key string) bool {
-	if !c.st.large[key] || !c.formatOn() && !c.fell {
+	if !c.st.large[key] || !c.formatOn() && !c.limitsFell {
 		return false
 	}
 	if !strings.HasPrefix(key, prePack) {
@@ -419,7 +419,7 @@
 // types only those that exist count.
 func (c *Core) fit(h *Header) {
 	s := h.Spec
-	if s == nil || !c.formatOn() && !c.fell || len(s.Types) < 4 && len(s.Class) <= tuning.NameBytes && len(s.Image) <= tuning.NameBytes {
+	if s == nil || !c.formatOn() && !c.limitsFell || len(s.Types) < 4 && len(s.Class) <= tuning.NameBytes && len(s.Image) <= tuning.NameBytes {
 		return
 	}
 	cp := *s
--- a/internal/core/format_test.go
+++ b/internal/core/format_test.go
@@ -54,8 +54,8 @@
 		"job-000004": {phaseOpen, 363, 31, 6}, "job-000005": {phaseCancelled, 4, 0, 0},
 	} {
 		j := c.st.jobs[id]
-		if j.phase != want.phase || j.nQ != want.queued || j.nB != want.booked || j.nD != want.ok {
-			t.Errorf("%s: phase %d, %d queued, %d booked, %d done", id, j.phase, j.nQ, j.nB, j.nD)
+		if j.phase != want.phase || j.queuedTasks != want.queued || j.bookedTasks != want.booked || j.doneTasks != want.ok {
+			t.Errorf("%s: phase %d, %d queued, %d booked, %d done", id, j.phase, j.queuedTasks, j.bookedTasks, j.doneTasks)
 		}
 	}
 	want := Task{State: Booked, Attempt: 1, Machine: "n-000010", Shift: 1, Part: "c-0", Zone: "b"}
@@ -114,7 +114,7 @@
 func TestEachKindFitsAgain(t *testing.T) {
 	large := func() *Core {
 		c := acting()
-		c.cfg.ValueNow, c.fell = 8192, true
+		c.cfg.ValueNow, c.limitsFell = 8192, true
 		return c
 	}
 	check := func(what string, puts []Put) {
@@ -221,7 +221,7 @@
 	chunk.put(jobName(50), ts(139, 1000))
 	c.apply(KV{Key: prePack + "c-0/0", Value: enc(pack), Stamp: 50})
 	c.apply(KV{Key: preTask + jobName(50) + "/0", Value: enc(chunk), Stamp: 51})
-	if len(c.st.large) != 2 || c.st.jobs[jobName(50)].nB != 139 {
+	if len(c.st.large) != 2 || c.st.jobs[jobName(50)].bookedTasks != 139 {
 		t.Fatalf("too large: %v", c.st.large)
 	}
 	stored := map[string][]byte{}
@@ -260,8 +260,8 @@
 		if j == nil {
 			continue
 		}
-		if n := map[bool]int{true: 139, false: 12}[i == 50]; j.nB != n || x.nB != n || !slices.Equal(j.Tasks, x.Tasks) {
-			t.Errorf("job %d has %d bookings here and %d there", i, j.nB, x.nB)
+		if n := map[bool]int{true: 139, false: 12}[i == 50]; j.bookedTasks != n || x.bookedTasks != n || !slices.Equal(j.Tasks, x.Tasks) {
+			t.Errorf("job %d has %d bookings here and %d there", i, j.bookedTasks, x.bookedTasks)
 		}
 	}
 }
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -56,7 +56,7 @@
 			if !c.bookWhole(d, j, ms, claims) {
 				return
 			}
-			if len(d.changed) == before && sp.Shape == Gang && j.nQ == sp.N {
+			if len(d.changed) == before && sp.Shape == Gang && j.queuedTasks == sp.N {
 				failed[k] = true
 				// A large gang needs several machines at once, and smaller ones that
 				// came later would take each as it falls free: for a while they wait.
@@ -117,10 +117,10 @@
 // bookWhole adds a job's bookings to the draft; false: the draft is full.
 func (c *Core) bookWhole(d *draft, j *Job, ms []inv, claims map[string]claim) bool {
 	sp := j.H.Spec
-	if c.shun(j, 0) {
+	if c.isAvoided(j, 0) {
 		return true
 	}
-	if sp.Shape == Gang && j.nQ < sp.N || d.changed[TaskID{j.ID, 0}] && sp.Shape == Gang {
+	if sp.Shape == Gang && j.queuedTasks < sp.N || d.changed[TaskID{j.ID, 0}] && sp.Shape == Gang {
 		return true // some of the old attempt are not proven off yet
 	}
 	zones := map[string]int{}
@@ -157,7 +157,7 @@
 			if j.task(i).State != Queued || d.changed[TaskID{j.ID, i}] {
 				continue
 			}
-			if sp.Shape != Gang && (len(ps) >= tuning.TasksAtOnce || j.doubtful() && j.nB+len(ps) > 0) {
+			if sp.Shape != Gang && (len(ps) >= tuning.TasksAtOnce || j.doubtful() && j.bookedTasks+len(ps) > 0) {
 				break
 			}
 			if team = team.Plus(sp.Need, 1); !c.wholeAllowed(sp, team, claims) {
--- a/internal/core/large.go
+++ b/internal/core/large.go
@@ -43,7 +43,7 @@
 func (c *Core) waitingJobs(sort func(*Spec) bool) []*Job {
 	var jobs []*Job
 	for _, j := range c.st.open {
-		if sort(j.H.Spec) && j.nQ > 0 && int64(c.now) >= j.hold {
+		if sort(j.H.Spec) && j.queuedTasks > 0 && int64(c.now) >= j.hold {
 			jobs = append(jobs, j)
 		}
 	}
@@ -57,7 +57,7 @@
 // arrays of 20,000 tasks of five seconds kept all other work of their clusters from
 // starting for minutes.
 func (c *Core) bookLargeArray(d *draft, j *Job, machines []inv, claims map[string]claim) bool {
-	if c.shun(j, 0) {
+	if c.isAvoided(j, 0) {
 		return true
 	}
 	owners := c.ownersFitting(j.H.Spec)
@@ -66,7 +66,7 @@
 	}
 	left := tuning.LargeAtOnce
 	if j.doubtful() {
-		left = 1 - j.nB
+		left = 1 - j.bookedTasks
 	}
 	for cell, from := 0, 0; from < j.H.N && left > 0; cell, from = cell+1, j.cellEnd(from) {
 		owner := owners[cell%len(owners)]
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"brassglade/internal/tuning"
@@ -48,14 +47,6 @@
 	firstRun map[doom]time.Duration
 }
 
-type heldCheckin struct {
-	machine string
-	req     uint64
-	tally   uint64
-	shift   uint64
-	till    time.Duration
-}
-
 func newMachine(name string) *Machine {
 	return &Machine{
 		Name: name, tasks: map[TaskID]Seen{}, recallAt: -1, last200: -1, spoke: -1,
@@ -107,7 +98,7 @@
 		c.emit(EfCheckin{Req: e.Req, Status: 503})
 		return
 	}
-	c.heed(m, &r)
+	c.checkHeeded(m, &r)
 	c.takeReport(m, &r, true)
 	if h := c.held[m.Name]; h != nil { // given up by the worker
 		delete(c.held, m.Name)
@@ -124,70 +115,6 @@
 	c.answer(h)
 }
 
-// heed notices a machine whose reports arrive while answers don't reach it: a
-// report newer than an answer must show the answer's token and tasks.
-func (c *Core) heed(m *Machine, r *Report) {
-	// Reports that a cut held back come all at once; none of them can show an
-	// answer given a moment ago.
-	if !m.heardOnce || r.Shift != m.shift || m.last200 < 0 || c.now-m.last200 < tuning.HeedAfter {
-		return
-	}
-	missed := r.Baton < m.sentBaton
-	there := map[TaskID]bool{}
-	for _, s := range r.Tasks {
-		there[s.Task] = true
-	}
-	for k, tally := range m.sent {
-		if !c.st.byMach[m.Name][k.T] {
-			delete(m.sent, k)
-			continue
-		}
-		if !missed && tally < r.Tally && tally > 0 && !there[k.T] && c.st.byMach[m.Name][k.T] && c.st.jobs[k.T.Job].task(k.T.I).Attempt == k.A {
-			missed = true
-		}
-	}
-	if !missed {
-		m.unheeded = 0
-		return
-	}
-	if m.unheeded == 0 {
-		m.unheededAt = c.now
-	}
-	m.unheeded++
-}
-
-// worthHolding: an answer given now would soon have had orders in it. A machine
-// that has to wait for its next report starts its next task seconds later.
-func (c *Core) worthHolding(m *Machine) bool {
-	if c.task != nil && c.planMach[m.Name] {
-		return true // the commit in flight concerns it
-	}
-	for id := range c.st.byMach[m.Name] {
-		if s, ok := m.tasks[id]; !ok || s.Attempt != c.st.jobs[id.Job].task(id.I).Attempt {
-			return false // something to start
-		}
-	}
-	if len(m.queue) > 0 && c.bookable(m) || c.unsettled(m) {
-		return true
-	}
-	// Room for a small task: the next one may come any moment.
-	if !c.bookable(m) || c.kept(m.Name) && len(m.tasks) > 0 {
-		return false
-	}
-	f := c.flavor(m.Type)
-	return len(m.tasks) == 0 || c.free(m.Name, f.Size, nil).Holds(Res{f.Size.CPU / 8, f.Size.GPU / 8, f.Size.Mem / 8})
-}
-
-// unsettled: m reports ended tasks whose outcome is not committed yet.
-func (c *Core) unsettled(m *Machine) bool {
-	for _, s := range m.tasks {
-		if s.State == SeenEnded && c.booking(m, s) {
-			return true
-		}
-	}
-	return false
-}
-
 // booking tells whether s is the committed booking of its task.
 func (c *Core) booking(m *Machine, s Seen) bool {
 	j := c.st.jobs[s.Task.Job]
@@ -261,114 +188,6 @@
 	c.dirty = true
 }
 
-// answer says 200 with the orders that follow from committed state alone.
-func (c *Core) answer(h *heldCheckin) {
-	if c.held[h.machine] == h {
-		delete(c.held, h.machine)
-	}
-	m := c.mach[h.machine]
-	if m == nil || !c.fenceOK() || !c.owns(h.machine) || c.guard(GuardDead) && h.shift <= m.deadShift || h.shift != m.shift ||
-		c.st.marks[h.machine].State == MarkGone {
-		c.emit(EfCheckin{Req: h.req, Status: 503})
-		return
-	}
-	orders := c.orders(m, h.tally)
-	m.last200, m.sentBaton = c.now, c.st.view.Epoch
-	c.emit(EfCheckin{Req: h.req, Status: 200, Baton: c.st.view.Epoch, Orders: orders})
-}
-
-// orders for m: halts first, then clears, then runs. A run goes out only for
-// a committed booking of this session whose release was never attempted.
-func (c *Core) orders(m *Machine, tally uint64) []Order {
-	var halts, clears, runs []Order
-	for _, id := range sortedTasks(m.tasks) {
-		s := m.tasks[id]
-		if s.State == SeenEnded {
-			if !c.booking(m, s) || !c.guard(GuardClear) {
-				clears = append(clears, Order{Verb: Clear, Task: id, Attempt: s.Attempt})
-			}
-			continue
-		}
-		if o, ok := c.halt(m, s); ok {
-			halts = append(halts, o)
-		}
-	}
-	for _, id := range sortedTasks(c.st.byMach[m.Name]) {
-		j := c.st.jobs[id.Job]
-		t := j.task(id.I)
-		k := doom{id, t.Attempt}
-		if s, ok := m.tasks[id]; ok && s.Attempt == t.Attempt {
-			continue
-		}
-		if j.H.Halt >= t.Attempt && j.H.Halt > 0 {
-			continue
-		}
-		if t.Shift != m.shift || j.H.State != JobOpen || c.doomed[k] && c.guard(GuardDoom) || m.recallAt >= 0 || c.yielded[k] || c.evicted(m.Name) && !holdsMachines(j.H.Spec) || !c.gangWhole(j, t) {
-			continue
-		}
-		m.sent[k] = tally
-		runs = append(runs, Order{Verb: Run, Task: id, Attempt: t.Attempt})
-	}
-	return slices.Concat(halts, clears, runs)
-}
-
-// halt tells whether a live task on m has to be stopped, and how.
-func (c *Core) halt(m *Machine, s Seen) (Order, bool) {
-	o := Order{Verb: Halt, Task: s.Task, Attempt: s.Attempt}
-	j := c.st.jobs[s.Task.Job]
-	if j == nil || j.final() || !c.booking(m, s) {
-		return o, true // nobody has any use for it
-	}
-	t := j.task(s.Task.I)
-	sp := j.H.Spec
-	if !c.gangWhole(j, t) {
-		return o, s.State != SeenSaving
-	}
-	mark := c.st.marks[m.Name]
-	if sp.Shape == Gang && sp.N > 1 {
-		// Its progress is saved only if all are told together: the header
-		// tells every owner (planHalts).
-		o.Leeway = sp.Save + 2
-		return o, j.H.Halt >= t.Attempt && s.State != SeenSaving
-	}
-	switch {
-	case c.evicted(m.Name) && !holdsMachines(sp), c.yielded[doom{s.Task, s.Attempt}]:
-		o.Leeway = sp.Save + 2
-		return o, s.State != SeenSaving
-	case m.recallAt >= 0:
-		left := (m.recallAt - c.now - tuning.RecallMargin).Seconds()
-		if s.State == SeenSaving {
-			return o, false
-		}
-		// Let a task without checkpoints run on: it may still finish.
-		if sp.Ckpt <= 0 || sp.Save <= 0 {
-			return o, false
-		}
-		// Run on for as long as saving still fits before the recall, whose
-		// length may be half of what was said.
-		o.Leeway = max(left, sp.Save)
-		return o, left/2 <= sp.Save+4
-	case mark.State == MarkDrain && mark.Why != WhyIdle && s.State != SeenSaving:
-		o.Leeway = sp.Save + 2
-		return o, true
-	}
-	return o, false
-}
-
-// gangWhole: a gang's task is on only while all tasks of its attempt are
-// booked; otherwise the rest is stopped, and a new attempt starts all.
-func (c *Core) gangWhole(j *Job, t Task) bool {
-	if j.H.Spec.Shape != Gang || j.H.Spec.N == 1 {
-		return true
-	}
-	for i := range j.Tasks {
-		if o := j.Tasks[i]; o.State == Queued || o.State == Booked && o.Attempt != t.Attempt {
-			return false
-		}
-	}
-	return true
-}
-
 func sortedTasks[V any](m map[TaskID]V) []TaskID { return inOrder(slices.Collect(maps.Keys(m))) }
 
 func inOrder(ids []TaskID) []TaskID {
@@ -415,37 +234,6 @@
 	return c.now > from+lease+tuning.DriftMargin
 }
 
-// driveHeld answers held check-ins once there is nothing more to wait for.
-// Hundreds are held at a time, and events come for each: only those that the
-// event touched are looked at again, and all of them once a pace.
-func (c *Core) driveHeld() {
-	if len(c.held) == 0 {
-		clear(c.touched)
-		return
-	}
-	var names []string
-	if c.now >= c.heldAt {
-		c.heldAt = c.now + c.pace()
-		names = slices.Sorted(maps.Keys(c.held))
-	} else {
-		if len(c.touched) == 0 {
-			return
-		}
-		names = slices.Sorted(maps.Keys(c.touched))
-	}
-	clear(c.touched)
-	c.Work.Held += len(names)
-	for _, n := range names {
-		h := c.held[n]
-		if h == nil {
-			continue
-		}
-		if m := c.mach[n]; m == nil || c.now >= h.till || !c.worthHolding(m) {
-			c.answer(h)
-		}
-	}
-}
-
 // driveMachines gives up dead sessions, marks silent machines and sends direct
 // halts where time matters.
 func (c *Core) driveMachines() {
@@ -545,64 +333,6 @@
 	}
 }
 
-// errRun counts a job's errors on a machine, from the first on.
-type errRun struct {
-	n  int
-	at time.Duration
-}
-
-// sick tells whether tasks keep failing on m for the machine's sake. A job that was
-// submitted with a mistake fails on every machine, so the errors of a job count at
-// once only if a task of it was done somewhere, and else when it had time to be tried
-// elsewhere and wasn't. On a day of the users with such jobs 196 of 1,160 machines
-// were returned as sick when all errors counted.
-func (c *Core) sick(m *Machine) bool {
-	n, jobs := 0, 0
-	for id, e := range m.errs {
-		j := c.st.jobs[id]
-		if j == nil || j.cancelled() || j.nD == 0 && j.H.State != JobDone && (c.now-e.at < tuning.SickSettle || j.failsElsewhere(e.n)) {
-			continue
-		}
-		n += e.n
-		jobs++
-	}
-	return n >= tuning.SickErrors && (jobs >= 2 || n >= 2*tuning.SickErrors)
-}
-
-// failed: tasks of the job failed here, and none was ever done. It is tried elsewhere
-// next, which shows whose fault it is.
-func (m *Machine) failed(j *Job) bool {
-	return j.nD == 0 && m.errs[j.ID].n >= tuning.SickErrors
-}
-
-// failsElsewhere: of a job of which nothing was ever done, a good part of the tries
-// came to nothing beside the errors here. The records say so to all nodes alike.
-func (j *Job) failsElsewhere(here int) bool {
-	tries := -here
-	for i := range j.Tasks {
-		t := j.Tasks[i]
-		tries += int(t.Attempt)
-		if t.State == Booked {
-			tries--
-		}
-		if j.H.Spec != nil && j.H.Spec.Shape == Gang {
-			break // an attempt is one for all
-		}
-		if tries >= max(2, here) {
-			break
-		}
-	}
-	return tries >= 2 && 2*tries >= here
-}
-
-// deaf: answers to m had no effect, twice in a row. In wide fleets also for two
-// reports' time: after a cut hundreds of workers are answered late, and each
-// that gave an answer up would be returned, while one that really hears nothing
-// loses its tasks with its lease anyway.
-func (c *Core) deaf(m *Machine) bool {
-	return m.unheeded >= tuning.UnheededMost && (!c.wide() || c.now-m.unheededAt >= 2*c.cfg.Report)
-}
-
 // peersFresh tells whether all other serving nodes were heard just now.
 func (c *Core) peersFresh() bool {
 	for _, n := range c.st.view.Serving {
@@ -612,160 +342,3 @@
 	}
 	return true
 }
-
-// directHalts sends halts of cancelled work straight to the worker; they may
-// arrive late, which does no harm, and are repeated by check-ins.
-func (c *Core) directHalts(m *Machine) {
-	if c.now < m.haltAt || m.Addr == "" {
-		return
-	}
-	var halts []Order
-	for _, id := range sortedTasks(m.tasks) {
-		s := m.tasks[id]
-		if s.State == SeenEnded {
-			continue
-		}
-		if o, ok := c.halt(m, s); ok && !(s.State == SeenSaving && o.Leeway > 0) {
-			halts = append(halts, o)
-		}
-	}
-	if len(halts) > 0 {
-		m.haltAt = c.now + tuning.HaltRepeat
-		c.emit(EfDirect{Machine: m.Name, Addr: m.Addr, Baton: c.st.view.Epoch, Shift: m.shift, Orders: halts})
-	}
-}
-
-// mark wants a machine's mark written; driveMarks does it, many at a time.
-func (c *Core) mark(name string, m MachineMark) {
-	now := c.st.marks[name]
-	if _, ok := c.wantMark[name]; ok && m.State != MarkGone || now.State == MarkGone || now.State == m.State {
-		return
-	}
-	c.wantMark[name] = m
-	c.log(1, "machine marked", "machine", name, "mark", m.State, "why", m.Why)
-}
-
-// driveMarks writes the wanted marks, page by page in one commit.
-func (c *Core) driveMarks() {
-	if c.markBusy || len(c.wantMark) == 0 || c.now < c.markAt || !c.fenceOK() || c.cfg.WriteRate > 0 && c.tokens <= -c.cfg.WriteRate*tuning.MarkDebt {
-		return
-	}
-	// Task commits spend changes as soon as there are any: marks may go into
-	// debt, or machines taken away would be neither returned nor replaced.
-	c.markAt = c.now + c.pace()
-	if c.wide() {
-		c.markAt = c.now + tuning.MarkEvery
-		// Idle machines can wait for others: each change of a page fails the
-		// bookings under way on the machines that share it.
-		urgent := false
-		for _, m := range c.wantMark {
-			urgent = urgent || m.State == MarkDrain && m.Why != WhyIdle
-		}
-		if !urgent && c.now-c.markedAt < tuning.MarkIdleEvery {
-			return
-		}
-		c.markedAt = c.now
-	}
-	pages := map[string]MarkPage{}
-	t := Txn{When: []Cond{{keyView, c.st.stamps[keyView]}}}
-	var names []string
-	for _, n := range slices.Sorted(maps.Keys(c.wantMark)) {
-		m, now := c.wantMark[n], c.st.marks[n]
-		if now.State == MarkGone || now.State == m.State {
-			delete(c.wantMark, n)
-			continue
-		}
-		home := c.markHome(n)
-		p, ok := pages[home]
-		if !ok {
-			if len(pages) >= c.cfg.TxnOps {
-				continue
-			}
-			p = MarkPage{maps.Clone(c.st.pages[home].Drain), slices.Clone(c.st.pages[home].Gone)}
-			if p.Drain == nil {
-				p.Drain = map[string]string{}
-			}
-			c.shed(&p)
-		}
-		was, drained := p.Drain[n]
-		if m.State == MarkGone {
-			delete(p.Drain, n)
-			p.Gone = append(p.Gone, n)
-		} else {
-			p.Drain[n] = m.Why
-		}
-		if !c.trimPage(&p) {
-			if delete(p.Drain, n); drained { // no room until others are returned
-				p.Drain[n] = was
-			}
-			continue
-		}
-		pages[home] = p
-		names = append(names, n)
-	}
-	for _, home := range slices.Sorted(maps.Keys(pages)) {
-		key := preMach + home
-		t.When = append(t.When, Cond{key, c.st.stamps[key]})
-		t.Apply = append(t.Apply, Put{Key: key, Value: enc(pages[home])})
-	}
-	if len(names) == 0 {
-		return
-	}
-	c.markBusy = true
-	c.commit(LaneTask, t, func(r CommitResult, e EvCommit) {
-		c.markBusy = false
-		if r != Committed {
-			c.markAt = c.now + tuning.ConfirmRetry // and again, by then the cache knows more
-			return
-		}
-		for _, n := range names {
-			if c.st.marks[n].State == c.wantMark[n].State {
-				delete(c.wantMark, n)
-			}
-		}
-	})
-}
-
-// shed drops drain marks from a page written under larger limits until it fits
-// again: such a machine takes bookings once more, until it is marked anew.
-func (c *Core) shed(p *MarkPage) {
-	if c.trimPage(p) {
-		return
-	}
-	names := slices.SortedFunc(maps.Keys(p.Drain), func(a, b string) int {
-		if ia, ib := p.Drain[a] == WhyIdle, p.Drain[b] == WhyIdle; ia != ib {
-			return map[bool]int{true: -1, false: 1}[ia]
-		}
-		return strings.Compare(b, a)
-	})
-	for _, n := range names {
-		if delete(p.Drain, n); c.trimPage(p) {
-			return
-		}
-	}
-}
-
-// trimPage forgets the machines gone longest until the page fits its value;
-// false: it doesn't fit even so.
-func (c *Core) trimPage(p *MarkPage) bool {
-	size := func() int {
-		n := tuning.PackSlack
-		for name, why := range p.Drain {
-			n += len(name) + len(why) + 6
-		}
-		for _, name := range p.Gone {
-			n += len(name) + 3
-		}
-		return n
-	}
-	for i := 0; size() > c.cfg.ValueB; {
-		for i < len(p.Gone) && len(c.st.byMach[p.Gone[i]]) > 0 {
-			i++
-		}
-		if i == len(p.Gone) {
-			return false
-		}
-		p.Gone = slices.Delete(p.Gone, i, i+1)
-	}
-	return true
-}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -79,16 +79,16 @@
 
 // Job is a job in the cache.
 type Job struct {
-	ID     string
-	H      *Header
-	Tasks  []Task // nil until a chunk was written: all queued
-	nQ     int
-	nB     int
-	nD     int
-	errs   int
-	hold   int64 // no start before this time (steady, ns): pause after errors
-	late   bool  // beyond all aims, as the last order had it
-	queued int   // tasks now in queues of machines here
+	ID          string
+	H           *Header
+	Tasks       []Task // nil until a chunk was written: all queued
+	queuedTasks int
+	bookedTasks int
+	doneTasks   int
+	errs        int
+	hold        int64 // no start before this time (steady, ns): pause after errors
+	late        bool  // beyond all aims, as the last order had it
+	queued      int   // tasks now in queues of machines here
 
 	phase  phase
 	bornAt int64 // when it was submitted (steady, ns)
@@ -191,17 +191,17 @@
 	}
 	if j.Tasks == nil {
 		j.Tasks = make([]Task, j.H.N)
-		j.nQ = j.H.N
+		j.queuedTasks = j.H.N
 	}
 	id := TaskID{j.ID, i}
 	count := func(s TaskState, k int) {
 		switch s {
 		case Queued:
-			j.nQ += k
+			j.queuedTasks += k
 		case Booked:
-			j.nB += k
+			j.bookedTasks += k
 		case Done:
-			j.nD += k
+			j.doneTasks += k
 		}
 	}
 	count(old.State, -1)
@@ -459,7 +459,7 @@
 	j := c.st.jobs[id]
 	fresh := j == nil
 	if fresh {
-		j = &Job{ID: id, H: h, nQ: h.N, bornAt: int64(c.now)}
+		j = &Job{ID: id, H: h, queuedTasks: h.N, bornAt: int64(c.now)}
 		if c.st.reading && h.Born > 0 {
 			j.bornAt = min(j.bornAt, c.steady(h.Born))
 		}
@@ -472,7 +472,7 @@
 		if j.H.Spec != nil && !fresh {
 			h.Spec.Needs = j.H.Spec.Needs
 		}
-	} else if j.H.Spec != nil && (j.nB > 0) {
+	} else if j.H.Spec != nil && (j.bookedTasks > 0) {
 		// The final header drops the spec only when nothing is booked; a
 		// chunk older than it may still be in the cache.
 		for i := range j.Tasks {
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -324,7 +324,7 @@
 	// of a view written under larger limits are dropped beyond it: any node may own
 	// a machine after a change of epoch.
 	most := max(8, (c.cfg.ValueB-tuning.ViewBytes)/tuning.OverBytes)
-	if len(v.Over) > most && (c.formatOn() || c.fell) {
+	if len(v.Over) > most && (c.formatOn() || c.limitsFell) {
 		changed, overOnly = true, false
 	}
 	for _, m := range slices.Sorted(maps.Keys(v.Over)) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -28,21 +28,21 @@
 
 // service is a state service: one map, one ledger, grants and watches.
 type service struct {
-	w        *World
-	kv       map[string]entry
-	ledger   uint64
-	log      []core.KV
-	leases   map[uint64]*lease
-	next     uint64
-	down     bool
-	refuse   map[string]bool // nodes that alone get 503
-	waiting  []watcher
-	changes  int // puts and deletes asked for
-	requests int
-	valueB   int // limits in force
-	txnOps   int
-	tooLarge int // transactions refused for them since they fell
-	fell     bool
+	w          *World
+	kv         map[string]entry
+	ledger     uint64
+	log        []core.KV
+	leases     map[uint64]*lease
+	next       uint64
+	down       bool
+	refuse     map[string]bool // nodes that alone get 503
+	waiting    []watcher
+	changes    int // puts and deletes asked for
+	requests   int
+	valueB     int // limits in force
+	txnOps     int
+	tooLarge   int // transactions refused for them since they fell
+	limitsFell bool
 }
 
 func newService(w *World) *service {
@@ -166,7 +166,7 @@
 	if over != "" {
 		// Values that are larger are known to all; that the limit fell shows only
 		// by the refusal.
-		if !s.fell {
+		if !s.limitsFell {
 			s.w.broke("limit", "%s", over)
 		}
 		s.tooLarge++
@@ -310,5 +310,5 @@
 // lower lowers the limits, without notice.
 func (s *service) lower(valueB, txnOps int) {
 	s.w.log("limits fall to %d bytes a value and %d changes", valueB, txnOps)
-	s.valueB, s.txnOps, s.fell = valueB, txnOps, true
+	s.valueB, s.txnOps, s.limitsFell = valueB, txnOps, true
 }
