--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -223,3 +224,29 @@
 		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
 	}
 }
+
+// TestFleetLargestArray: an array as large as the protocol allows, in a grown
+// deployment. What each controller holds stays far below its memory, and what the
+// array's tasks cost leaves the state service changes for others.
+func TestFleetLargestArray(t *testing.T) {
+	w := grown(5, 120, func(s *core.Settings) { s.Teams["guest"] = core.Limits{} })
+	w.feed(200, 400*time.Millisecond)
+	w.Run(50 * time.Second)
+	w.Submit(core.Spec{ID: "job-900001", Class: "sweep", Team: "guest", Shape: core.Array, Prio: 1, N: 100000,
+		Need: core.Res{CPU: 250, Mem: 900}, Spot: true, Image: "sweep", ImageGB: 0.5, Est: 5}, 5*time.Second)
+	changes := w.st.changes
+	w.Run(110 * time.Second)
+	perSecond := float64(w.st.changes-changes) / 60
+	runtime.GC()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	each := float64(mem.HeapAlloc) / 5 / (1 << 20)
+	started := len(w.firstRuns("job-900001"))
+	t.Logf("%d tasks started in a minute, %.1f changes a second, at most %.1f MB a controller with the stand-in's own", started, perSecond, each)
+	if started < 5000 || perSecond > 1.4*25 || each > 100 {
+		t.Errorf("%d tasks started in a minute, %.1f changes a second, %.1f MB a controller", started, perSecond, each)
+	}
+	if len(w.Broken) > 0 {
+		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
+	}
+}
--- a/internal/standin/guests_test.go
+++ b/internal/standin/guests_test.go
@@ -107,3 +107,80 @@
 		t.Errorf("%d broken rules, first %s", len(w.Broken), w.Broken[0])
 	}
 }
+
+// TestMachinesOfAZoneComeLateOrNever: a zone's machines come up late, or never, while
+// jobs wait. Those that never come are returned, as many are rented as are needed, and
+// jobs that may run elsewhere do.
+func TestMachinesOfAZoneComeLateOrNever(t *testing.T) {
+	for _, how := range []string{"late", "never"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			seeds := []uint64{1, 2, 3}
+			for i, w := range playAll(t, seeds, func(seed uint64) string {
+				s := fmt.Sprintf("seed %d\nat 0 boots a %s for=60\n", seed, how)
+				for k := 1; k <= 6; k++ {
+					s += fmt.Sprintf("at %d submit job-%06d array 4 blue run=30\n", 2+3*k, k)
+				}
+				return s + "until 400\n"
+			}) {
+				if w.met["up late"]+w.met["never up"] == 0 {
+					t.Fatalf("seed %d: no machine was rented in that zone", seeds[i])
+				}
+				never := 0
+				for _, k := range w.workers {
+					if !k.up && !k.gone {
+						never++
+					}
+				}
+				// 24 tasks of a quarter of a machine each need six.
+				if len(w.workers) > 18 || never > 0 {
+					t.Errorf("seed %d: %d machines rented, %d never came up and are still paid for", seeds[i], len(w.workers), never)
+				}
+				for k := 1; k <= 6; k++ {
+					if starts := w.firstRuns(fmt.Sprintf("job-%06d", k)); len(starts) < 4 || starts[3] > 100 {
+						t.Errorf("seed %d: job %d ran at %.0f s", seeds[i], k, starts)
+					}
+				}
+				if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+					t.Errorf("seed %d: broken %v, unfinished %v", seeds[i], w.Broken, w.Unfinished())
+				}
+			}
+		})
+	}
+}
+
+// TestPollStorm: users ask ten times as often for a minute. Their polls share read
+// indexes, so that the state service hardly notices, and nearly all are answered.
+func TestPollStorm(t *testing.T) {
+	s := "rates\nat 40 storm for=60\n"
+	for k := 1; k <= 60; k++ {
+		s += fmt.Sprintf("at %d submit job-%06d array 2 blue run=60 spot\n", 1+k%20, k)
+	}
+	asked := func(until string) int {
+		w, err := Play(s + until)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return w.st.requests
+	}
+	before, after := asked("until 41\n"), asked("until 99\n")
+	w, err := Play(s + "until 900\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered, failed := w.met["poll answered 200"], 0
+	for what, n := range w.met {
+		if strings.HasPrefix(what, "poll answered") {
+			failed += n
+		}
+	}
+	failed -= answered
+	requests := after - before
+	t.Logf("%d polls answered, %d not, %d requests to the state service", answered, failed, requests)
+	if answered < 2000 || 50*failed > answered || requests > answered {
+		t.Errorf("%d polls answered, %d not, %d requests to the state service", answered, failed, requests)
+	}
+	if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
+		t.Errorf("broken %v, unfinished %v", w.Broken, w.Unfinished())
+	}
+}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -96,6 +96,8 @@
 //	at T lost NODE|all for=S share=X (transactions are carried out, only their answer is lost)
 //	at T slow for=S by=S             (the state service answers up to that much later)
 //	at T quick for=S                 (machines rented meanwhile are up within two seconds)
+//	at T boots ZONE late|never for=S (machines rented there meanwhile come up late or never)
+//	at T storm for=S                 (users ask about their jobs ten times as often)
 //	at T calloff N [hang=S]          (users call off that many running jobs at once, whose machines may hang)
 //	at T endings for=S share=X       (jobs are called off at the moment at which their last task ends)
 //	at T looks for=S                 (users ask all nodes within milliseconds after each news, and submit again)
@@ -195,7 +197,7 @@
 	}
 	dur := func(k string, def float64) time.Duration { return time.Duration(num(k, def) * float64(time.Second)) }
 	switch f[0] {
-	case "submit", "cancel", "calloff", "looks", "odd", "quick", "endings":
+	case "submit", "cancel", "calloff", "looks", "odd", "quick", "endings", "storm":
 	default:
 		if w.blind {
 			break
@@ -259,7 +261,9 @@
 	case "slow":
 		w.log("the state service is slow")
 		w.spell["slow"] = spell{w.Now + dur("for", 20), 1, dur("by", 1)}
-	case "quick", "endings", "looks":
+	case "boots":
+		w.spell["boots "+f[2]+" "+f[1]] = spell{w.Now + dur("for", 20), 1, 0}
+	case "quick", "endings", "looks", "storm":
 		w.spell[f[0]] = spell{w.Now + dur("for", 20), num("share", 1), 0}
 	case "odd":
 		w.spell["odd"] = spell{w.Now + dur("for", 20), 1, 0}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -128,6 +128,9 @@
 	copyMost   time.Duration
 }
 
+// lateBoot is how many times as long machines take that come up late.
+const lateBoot = 2
+
 func newWorker(w *World, name, zone string, spot bool) *worker {
 	k := &worker{w: w, name: name, zone: zone, spot: spot, born: w.Now, shift: 1, tasks: map[core.TaskID]*task{}, recall: -1}
 	w.workers = append(w.workers, k)
@@ -137,6 +140,14 @@
 		boot = time.Duration(300+w.rng.IntN(1700)) * time.Millisecond
 		w.came("up within two seconds")
 	}
+	if w.strikes("boots late " + zone) {
+		boot *= lateBoot
+		w.came("up late")
+	}
+	if w.strikes("boots never " + zone) {
+		w.came("never up")
+		return k
+	}
 	w.after(boot, func() {
 		if k.gone {
 			return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -614,8 +614,13 @@
 		n.ask(func(r uint64) core.Event { return core.EvPoll{Req: r, ID: id} }, done)
 	}, func(u core.EfUser, asked time.Duration) {
 		w.judge(id, u, asked)
+		pause := 5 * time.Second
+		if w.strikes("storm") {
+			pause /= 10
+			w.came(fmt.Sprintf("poll answered %d", u.Status))
+		}
 		if t := w.jobs[id]; t.told == "" {
-			w.after(5*time.Second, func() { w.poll(id) })
+			w.after(pause, func() { w.poll(id) })
 		}
 	})
 }
