--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -185,3 +185,25 @@
 		}
 	}
 }
+
+// TestLargeArraysHoldNoMachines: the leader keeps machines for gangs that wait, not for
+// an array of thousands of tasks, which would keep all of them from other jobs.
+func TestLargeArraysHoldNoMachines(t *testing.T) {
+	for shape, held := range map[Shape]bool{Array: false, Gang: true} {
+		c := stocked(t, 10)
+		h := Header{State: JobOpen, N: 3000, Chunk: 100, Part: "c-0", Order: 50,
+			Spec: &Spec{Class: "large", Team: "red", Shape: shape, Prio: 1, N: 3000, Need: Res{CPU: 4000}, Est: 5}}
+		if shape == Gang {
+			h.N, h.Spec.N = 4, 4
+		}
+		c.apply(KV{Key: keyJob(jobName(9)), Value: enc(h), Stamp: 60})
+		pending := c.pending()
+		if len(pending) < 2 {
+			t.Fatalf("%s: %d jobs want machines", shape, len(pending))
+		}
+		c.decideHolds(c.machines(), pending)
+		if got := len(c.fleet.hold) > 0; got != held {
+			t.Errorf("%s: %d machines are held", shape, len(c.fleet.hold))
+		}
+	}
+}
--- a/internal/standin/guests_test.go
+++ b/internal/standin/guests_test.go
@@ -177,7 +177,7 @@
 	failed -= answered
 	requests := after - before
 	t.Logf("%d polls answered, %d not, %d requests to the state service", answered, failed, requests)
-	if answered < 2000 || 50*failed > answered || requests > answered {
+	if answered < 2000 || 50*failed > answered || 2*requests > answered {
 		t.Errorf("%d polls answered, %d not, %d requests to the state service", answered, failed, requests)
 	}
 	if len(w.Broken) > 0 || len(w.Unfinished()) > 0 {
