--- a/internal/standin/meet_test.go
+++ b/internal/standin/meet_test.go
@@ -247,6 +247,21 @@
 		}
 		return s + line(100, "state refuse leader for=15") + "until 700\n"
 	}, []string{"woken", "answer decided before a freeze"}, "", ""},
+	{"frozen_over_a_minute", func(r *rand.Rand) string {
+		s := "at 1 looks for=250\nat 2 submit job-000001 array 9 blue run=200\n" + load(r, 20, 120)
+		s += line(50+5*r.Float64(), "freeze leader for=%d", 62+r.IntN(30)) + line(56, "calloff 3")
+		return s + line(150+5*r.Float64(), "freeze leader for=%d", 5+r.IntN(8)) + line(152, "calloff 1") + "until 700\n"
+	}, []string{"woken", "new leader", "running job called off"}, "", ""},
+	{"two_controllers_cut", func(r *rand.Rand) string {
+		// The second spell begins less than a lease after the first has ended.
+		s := "at 2 submit job-000001 array 9 blue run=200 spot\n" + load(r, 20, 120)
+		for at := 45.0; at < 150; at += 40 {
+			a := r.IntN(3)
+			s += line(at+r.Float64(), "cut c-%d state %s for=%d", a, anyMode(r), 10+r.IntN(18)) +
+				line(at+3*r.Float64(), "cut c-%d * %s for=%d", (a+1)%3, anyMode(r), 10+r.IntN(18)) + line(at+4, "calloff 2")
+		}
+		return s + "until 700\n"
+	}, []string{"running job called off"}, "", ""},
 }
 
 // troubles are one line or two each, for days that pair any two of them.
