Large arrays: an owner's room is listed once a plan; one place for room beside idle tasks

For each of a large array's values, also those with nothing left to book, the leader filtered and sorted an owner's machines anew in every plan; now once an owner, and only for values with queued tasks. Free room beside what idle tasks hold was written three times, holdsMachines twice. Two comments said more than was shown.

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -15,7 +15,7 @@
 	if !c.isLeader() {
 		return
 	}
-	js := c.waitingJobs(func(sp *Spec) bool { return whole(sp) && !largeArray(sp) })
+	js := c.waitingJobs(holdsMachines)
 	if len(js) == 0 {
 		return
 	}
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -44,10 +44,7 @@
 	room, slots := map[string]int64{}, map[string]int64{}
 	for _, m := range c.inventory() {
 		if f := c.flavor(m.typ); f != nil && c.fits(sp, m.typ, m.zone, m.spot) && !c.kept(m.name) {
-			free := c.free(m.name, f.Size, nil)
-			if !yields(sp) {
-				free = free.Plus(c.st.occ[m.name].idle.used, 1)
-			}
+			free := roomBeside(c.free(m.name, f.Size, nil), c.st.occ[m.name].idle.used, yields(sp))
 			room[m.owner] += free.Times(sp.Need, int64(sp.N))
 			slots[m.owner] += f.Size.Times(sp.Need, 64)
 		}
--- a/internal/core/large.go
+++ b/internal/core/large.go
@@ -14,9 +14,8 @@
 }
 
 // holdsMachines tells whether the leader keeps machines for jobs like this one. It
-// doesn't for large arrays, which take the room that other jobs leave: with thousands
-// of tasks waiting it once kept all machines for one of them, and the parts could
-// place nothing until the array was done.
+// doesn't for large arrays, which take the room that other jobs leave: for thousands of
+// waiting tasks it would keep all machines that fit, and parts place nothing on those.
 func holdsMachines(sp *Spec) bool { return whole(sp) && !largeArray(sp) }
 
 // planLargeArrays books tasks of large arrays, by priority and then first come,
@@ -38,12 +37,12 @@
 	}
 }
 
-// waitingJobs are the open jobs of one sort that have tasks to book and don't pause
-// after an error.
-func (c *Core) waitingJobs(sort func(*Spec) bool) []*Job {
+// waitingJobs are the open jobs that match, have tasks to book and don't pause after
+// an error.
+func (c *Core) waitingJobs(matches func(*Spec) bool) []*Job {
 	var jobs []*Job
 	for _, j := range c.st.open {
-		if sort(j.H.Spec) && j.queuedTasks > 0 && int64(c.now) >= j.hold {
+		if matches(j.H.Spec) && j.queuedTasks > 0 && int64(c.now) >= j.hold {
 			jobs = append(jobs, j)
 		}
 	}
@@ -53,9 +52,7 @@
 // bookLargeArray adds bookings of the job's next tasks to the draft; false: the draft
 // is full. Tasks that share a value go to machines of one owner. If they were spread
 // over all machines, every owner would change most of the array's values to release
-// its tasks, and such commits have no room left for the bookings of other jobs: two
-// arrays of 20,000 tasks of five seconds kept all other work of their clusters from
-// starting for minutes.
+// its tasks, and such commits have no room left for the bookings of other jobs.
 func (c *Core) bookLargeArray(d *draft, j *Job, machines []inv, claims map[string]claim) bool {
 	if c.isAvoided(j, 0) {
 		return true
@@ -68,10 +65,19 @@
 	if j.doubtful() {
 		left = 1 - j.bookedTasks
 	}
+	rooms := map[string][]inv{} // by owner
 	for cell, from := 0, 0; from < j.H.N && left > 0; cell, from = cell+1, j.cellEnd(from) {
+		if !j.anyQueued(from) {
+			continue
+		}
 		owner := owners[cell%len(owners)]
-		n, ok := c.bookCell(d, j, from, left, c.roomOf(d, j.H.Spec, machines, owner), claims)
+		room, known := rooms[owner]
+		if !known {
+			room = c.roomOf(d, j.H.Spec, machines, owner)
+		}
+		n, rest, ok := c.bookCell(d, j, from, left, room, claims)
 		left -= n
+		rooms[owner] = rest
 		if !ok {
 			return false
 		}
@@ -79,6 +85,16 @@
 	return true
 }
 
+// anyQueued tells whether a task of the cell that begins with task from is queued.
+func (j *Job) anyQueued(from int) bool {
+	for i, end := from, j.cellEnd(from); i < end; i++ {
+		if j.task(i).State == Queued {
+			return true
+		}
+	}
+	return false
+}
+
 // ownersFitting are the controllers with machines that may take a task of the job,
 // sorted by name.
 func (c *Core) ownersFitting(sp *Spec) []string {
@@ -108,20 +124,21 @@
 }
 
 // bookCell books up to most queued tasks of the cell that begins with task from, and
-// tells how many; false: the draft is full.
-func (c *Core) bookCell(d *draft, j *Job, from, most int, room []inv, claims map[string]claim) (int, bool) {
+// tells how many, and which machines still have room; false: the draft is full.
+func (c *Core) bookCell(d *draft, j *Job, from, most int, room []inv, claims map[string]claim) (int, []inv, bool) {
 	sp, booked := j.H.Spec, 0
-	for i := from; i < j.cellEnd(from) && booked < most && len(room) > 0; i++ {
+	end := j.cellEnd(from)
+	for i := from; i < end && booked < most && len(room) > 0; i++ {
 		id := TaskID{j.ID, i}
 		if j.task(i).State != Queued || d.changed[id] {
 			continue
 		}
 		if !c.wholeAllowed(sp, d.teamUsed(sp.Team).Plus(sp.Need, 1), claims) {
-			return booked, true
+			return booked, room, true
 		}
 		if !d.room(j, i, false, true) {
 			c.dirty = true
-			return booked, d.ops() < d.most
+			return booked, room, d.ops() < d.most
 		}
 		m, attempt := room[0], j.task(i).Attempt+1
 		d.book(j, i, m.name, m.zone, m.shift, attempt)
@@ -131,7 +148,7 @@
 			room = room[1:]
 		}
 	}
-	return booked, true
+	return booked, room, true
 }
 
 // wholeAllowed tells whether a team's use, with a task of a job placed whole in it,
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -351,14 +351,8 @@
 	return keep
 }
 
-// roomFor is the room that a task can have on the machine: what is free, and for
-// tasks that don't yield themselves what those hold that do.
-func (t *target) roomFor(kind taskKind) Res {
-	if kind.yields {
-		return t.free
-	}
-	return t.free.Plus(t.idle, 1)
-}
+// roomFor is the room that tasks of a kind can have on the machine.
+func (t *target) roomFor(kind taskKind) Res { return roomBeside(t.free, t.idle, kind.yields) }
 
 // full: queues are small; what can't start soon waits in the part's pool, where
 // the order can still change. A task that yields is queued only where it starts at
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -140,11 +140,7 @@
 				break
 			}
 			if c.fits(p.sp, slots[s].k.Type, slots[s].k.Zone, slots[s].k.Spot) && (holdsMachines(p.sp) || !f.hold[slots[s].k.Name]) {
-				room := slots[s].free
-				if !yields(p.sp) {
-					room = room.Plus(slots[s].idle, 1)
-				}
-				n := room.Times(p.sp.Need, left)
+				n := roomBeside(slots[s].free, slots[s].idle, yields(p.sp)).Times(p.sp.Need, left)
 				slots[s].free = slots[s].free.Plus(p.sp.Need, -n)
 				left -= n
 			}
--- a/internal/core/yield.go
+++ b/internal/core/yield.go
@@ -10,6 +10,15 @@
 // yield itself: single tasks of idle priority.
 func yields(sp *Spec) bool { return sp.Prio == tuning.PrioIdle && sp.Shape == Array }
 
+// roomBeside is the room that a task can have on a machine: what is free, and for tasks
+// that don't yield themselves what those hold that do.
+func roomBeside(free, idle Res, yields bool) Res {
+	if yields {
+		return free
+	}
+	return free.Plus(idle, 1)
+}
+
 // decideYields chooses the tasks to be stopped for those that wait in the queues of
 // their machines. A stop is only asked for by halts, which change no record: the
 // booking is released when the machine reports that the task ended.
