Scheduler: a job's log and a metric say what keeps its tasks from starting

Change: quota.Claim.Judge gives a typed verdict; every path that passes a task over for it, or for want of a machine, notes the reason on the job and logs 'job waits' at debug when the reason changes, with use, limit, what is kept and for whom. Prometheus gets waiting_tasks by team and reason.

--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -37,6 +37,7 @@
 	m.Event(scheduler.CommitAnswered{ID: 8, Result: domain.InDoubt})
 	status := scheduler.Status{Epoch: 4, Leader: "c-0", Leads: true, Acts: true, Revision: 431, Confirmed: 250 * time.Millisecond, Machines: 3}
 	status.Work.Bookings[scheduler.PassCached], status.Work.Events = 5, 99
+	status.Waiting = map[scheduler.WaitingTasks]int{{Team: "red", Reason: scheduler.WaitsForGangs}: 12}
 	m.Status(status)
 	got := scrape(t, m)
 	for _, want := range []string{
@@ -56,6 +57,7 @@
 		`brassglade_bookings_total{member="c-0",pass="cached"} 5`,
 		`brassglade_bookings_total{member="c-0",pass="any"} 0`,
 		`brassglade_steps_total{member="c-0"} 99`,
+		`brassglade_waiting_tasks{member="c-0",reason="gangs",team="red"} 12`,
 	} {
 		if !strings.Contains(got, want+"\n") {
 			t.Errorf("%s is missing from\n%s", want, got)
--- a/internal/metrics/status.go
+++ b/internal/metrics/status.go
@@ -14,6 +14,7 @@
 	gauges   []gauge
 	bookings *prometheus.Desc
 	steps    *prometheus.Desc
+	waiting  *prometheus.Desc
 }
 
 // gauge is one number of the status.
@@ -29,6 +30,7 @@
 	}
 	s.bookings = desc("bookings_total", "Committed bookings of tasks, by the planning pass that chose the machine.", "pass")
 	s.steps = desc("steps_total", "Events that the core has taken.")
+	s.waiting = desc("waiting_tasks", "Waiting tasks that this controller places, by team and by what keeps them from starting.", "team", "reason")
 	s.gauges = []gauge{
 		{desc("epoch", "Epoch of the view, and the fencing token of all commands; 0 before the first view."),
 			func(s *scheduler.Status) float64 { return float64(s.Epoch) }},
@@ -69,6 +71,7 @@
 	}
 	out <- s.bookings
 	out <- s.steps
+	out <- s.waiting
 }
 
 // Collect gives the numbers of the latest status; nothing before the first step.
@@ -84,4 +87,7 @@
 		out <- prometheus.MustNewConstMetric(s.bookings, prometheus.CounterValue, float64(status.Work.Bookings[pass]), pass.String())
 	}
 	out <- prometheus.MustNewConstMetric(s.steps, prometheus.CounterValue, float64(status.Work.Events))
+	for tasks, count := range status.Waiting {
+		out <- prometheus.MustNewConstMetric(s.waiting, prometheus.GaugeValue, float64(count), tasks.Team, tasks.Reason.String())
+	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -52,11 +52,24 @@
 	return slack
 }
 
+// Verdict tells whether one more task may start within its team's limit, or else what keeps
+// it from that.
+type Verdict int
+
+// The verdicts.
+const (
+	Admitted           Verdict = iota
+	BeyondLimit                // the limit has no room for the task
+	KeptForStarvingJob         // the room that is left is kept for a job that starves
+	KeptForGangs               // the room that is left is kept for gangs that wait
+)
+
 // Claim is what the waiting jobs of one team keep of its limit from other tasks.
 type Claim struct {
-	// The gangs that wait: their number, what the first of them takes as a whole, and what
-	// is booked by all jobs of the team that the leader places.
+	// The gangs that wait: their number, the first of them, what that takes as a whole, and
+	// what is booked by all jobs of the team that the leader places.
 	WaitingGangs   int
+	FirstGang      string
 	GangRequest    domain.Resources
 	PlacedByLeader domain.Resources
 	// GangStarves: one of the gangs has waited for so long that no small task goes ahead.
@@ -86,6 +99,21 @@
 	return c.StarvingJob == "" || c.StarvingJob == job || Within(used.Plus(c.StarvingRequest, 1), limit)
 }
 
+// Judge tells whether one more task stays within the limit and leaves what the waiting jobs
+// claim of it.
+func (c Claim) Judge(task Task, used, limit domain.Resources) Verdict {
+	withTask := used.Plus(task.Request, 1)
+	switch {
+	case !Within(withTask, limit):
+		return BeyondLimit
+	case c.Allows(task, used, limit):
+		return Admitted
+	case !c.LeavesFirst(task.Job, withTask, limit):
+		return KeptForStarvingJob
+	}
+	return KeptForGangs
+}
+
 // Allows tells whether one more task leaves room for the starving job and, unless it may
 // go ahead of them, leaves the waiting gangs all that they could have of the limit. What
 // no gang can use, small tasks may. It doesn't ask whether the task itself is within
@@ -98,9 +126,19 @@
 	if c.WaitingGangs == 0 || c.goesAheadOfGangs(task) {
 		return true
 	}
+	return c.gangsBeside(withTask.Plus(c.PlacedByLeader, -1), limit) >= c.possibleGangs(limit)
+}
+
+// possibleGangs is how many gangs like the first that waits, running and waiting ones, the
+// team could have at once.
+func (c Claim) possibleGangs(limit domain.Resources) int64 {
 	wanted := c.PlacedByLeader.CountFitting(c.GangRequest, tuning.MaxCountedGangs) + int64(c.WaitingGangs)
-	possible := min(wanted, c.gangsBeside(domain.Resources{}, limit))
-	return c.gangsBeside(withTask.Plus(c.PlacedByLeader, -1), limit) >= possible
+	return min(wanted, c.gangsBeside(domain.Resources{}, limit))
+}
+
+// KeptForGangs is the part of a limit that small tasks leave to gangs, running and waiting ones.
+func (c Claim) KeptForGangs(limit domain.Resources) domain.Resources {
+	return domain.Resources{}.Plus(c.GangRequest, c.possibleGangs(limit))
 }
 
 // goesAheadOfGangs tells whether a task needn't leave room for waiting gangs.
--- a/internal/scheduler/cache_jobs.go
+++ b/internal/scheduler/cache_jobs.go
@@ -132,6 +132,9 @@
 		delete(c.queues.tasksStaying, id)
 	}
 	j.Tasks[i] = task
+	if j.counts.queued == 0 {
+		j.waitReason = WaitsForNothing
+	}
 	if task.State != domain.Queued || c.cache.taskShard(j, task) != c.cfg.Node {
 		c.dequeue(id)
 	}
--- a/internal/scheduler/controller.go
+++ b/internal/scheduler/controller.go
@@ -47,6 +47,7 @@
 	cordons    cordons
 	scaling    scaling
 	learner    learner
+	waits      waitCounts
 }
 
 // New returns the state of a controller that has just started. The incarnation is unique
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -101,7 +101,11 @@
 	for _, j := range jobs {
 		spec := j.Header.Spec
 		kind := gangKindOf(spec)
-		if p.placeless[kind] || p.waitingTeams[spec.Team] || p.pass == PassCached && !p.isCachedSomewhere(spec) {
+		if p.pass == PassCached && !p.isCachedSomewhere(spec) {
+			continue
+		}
+		if reason := p.knownReason(spec.Team, kind); reason != WaitsForNothing {
+			p.c.noteWait(j, reason, p.claims, p.draft.teamUsed(spec.Team))
 			continue
 		}
 		before := len(p.draft.changed)
@@ -123,6 +127,17 @@
 	return true
 }
 
+// knownReason is why no job of a kind has to be tried, by what became of those before.
+func (p *gangPass) knownReason(team string, kind gangKind) WaitReason {
+	switch {
+	case p.placeless[kind]:
+		return WaitsForMachine
+	case p.waitingTeams[team]:
+		return WaitsForGangs
+	}
+	return WaitsForNothing
+}
+
 // foundNoPlace tells whether all of a gang still waits, and is not booked in this draft.
 func (p *gangPass) foundNoPlace(j *Job) bool {
 	spec := j.Header.Spec
@@ -192,6 +207,9 @@
 	if spec.Shape == domain.Gang && placed.queued < spec.TaskCount {
 		return true // booked in this draft, or some of the old attempt are not proven off yet
 	}
+	if spec.Shape == domain.Gang && !c.quotaAllowsPlaced(j, d.teamUsed(spec.Team).Plus(spec.Request, int64(spec.TaskCount)), claims) {
+		return true
+	}
 	picks := (&picker{
 		c: c, draft: d, job: j, placed: placed, zones: bindingZones(j, d), machines: machines, claims: claims,
 	}).choose()
@@ -301,11 +319,12 @@
 		if j.task(i).State != domain.Queued || d.changed[domain.TaskID{Job: j.ID, Index: i}] {
 			continue
 		}
-		if used = used.Plus(spec.Request, 1); !p.c.quotaAllowsPlaced(spec, used, p.claims) {
+		if used = used.Plus(spec.Request, 1); !p.c.quotaAllowsPlaced(j, used, p.claims) {
 			break
 		}
 		best := slices.IndexFunc(room, chosen.takes)
 		if best < 0 {
+			p.c.noteWait(j, WaitsForMachine, p.claims, used)
 			break
 		}
 		chosen.add(i, room[best])
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -18,6 +18,8 @@
 	queuedHere int       // tasks now in queues of machines of this controller
 	phase      phase     // set by setPhase alone
 
+	waitReason WaitReason // what kept its tasks from starting when they were last looked at
+
 	submittedAt int64 // ns
 	readyAt     int64 // when it could first start: all that it depends on was done; ns
 
@@ -54,3 +56,6 @@
 
 // cancelled by its user, or for a job that it depends on.
 func (j *Job) cancelled() bool { return j.Header.State == domain.StateCancelled || j.dependencyFailed }
+
+// isPaused tells whether none of the job's tasks may start yet, after errors of others.
+func (j *Job) isPaused(now time.Duration) bool { return int64(now) < j.pausedUntil }
--- a/internal/scheduler/large_arrays.go
+++ b/internal/scheduler/large_arrays.go
@@ -45,7 +45,7 @@
 func (c *cache) waitingJobs(matches func(*domain.JobSpec) bool, now time.Duration) []*Job {
 	var jobs []*Job
 	for _, j := range c.openJobs {
-		if matches(j.Header.Spec) && j.counts.queued > 0 && int64(now) >= j.pausedUntil {
+		if matches(j.Header.Spec) && j.counts.queued > 0 && !j.isPaused(now) {
 			jobs = append(jobs, j)
 		}
 	}
@@ -146,7 +146,7 @@
 		if j.task(i).State != domain.Queued || d.changed[domain.TaskID{Job: j.ID, Index: i}] {
 			continue
 		}
-		if !c.quotaAllowsPlaced(spec, d.teamUsed(spec.Team).Plus(spec.Request, 1), claims) {
+		if !c.quotaAllowsPlaced(j, d.teamUsed(spec.Team).Plus(spec.Request, 1), claims) {
 			break
 		}
 		if !d.hasRoomToGrow(j, i) {
@@ -166,10 +166,19 @@
 
 // quotaAllowsPlaced tells whether a team's use, with a task of a job that the leader places
 // in it, stays within its limit and leaves a starving job its share.
-func (c *Controller) quotaAllowsPlaced(spec *domain.JobSpec, used domain.Resources, claims map[string]quotaClaim) bool {
+func (c *Controller) quotaAllowsPlaced(j *Job, used domain.Resources, claims map[string]quotaClaim) bool {
+	spec := j.Header.Spec
 	claim := claims[spec.Team]
 	limit := c.cfg.Teams[spec.Team].Limit
-	return quota.Within(used, limit) && (!claim.aheadOfGangs || claim.LeavesFirst(spec.ID, used, limit))
+	switch {
+	case !quota.Within(used, limit):
+		c.noteWait(j, WaitsForLimit, claims, used)
+		return false
+	case claim.aheadOfGangs && !claim.LeavesFirst(spec.ID, used, limit):
+		c.noteWait(j, WaitsForStarvingJob, claims, used)
+		return false
+	}
+	return true
 }
 
 // comparePlaces orders machines for a task of a job that the leader places: first those
--- a/internal/scheduler/place_tasks.go
+++ b/internal/scheduler/place_tasks.go
@@ -6,6 +6,7 @@
 
 	"brassglade/internal/domain"
 	"brassglade/internal/policy"
+	"brassglade/internal/quota"
 	"brassglade/internal/tuning"
 )
 
@@ -117,7 +118,7 @@
 
 // placeJob queues tasks of one job, or has it handed over to another shard as a whole.
 func (p *placing) placeJob(j *Job, round placeRound) {
-	c, spec := p.c, j.Header.Spec
+	c := p.c
 	isHome := c.cache.shardOf(j) == c.cfg.Node
 	if j.Tasks == nil && !isHome || p.largeFleet && isHome && p.passJob(j) {
 		return
@@ -125,16 +126,15 @@
 	full := false
 	var choices []policy.Choice // made for the first task of the job, kept up for the others
 	for i := 0; i < j.Header.TaskCount && j.mayQueueMore(); i++ {
-		id, task := domain.TaskID{Job: j.ID, Index: i}, j.task(i)
-		if !c.isUnplaced(j, id, task, isHome) {
+		id := domain.TaskID{Job: j.ID, Index: i}
+		if !c.isUnplaced(j, id, j.task(i), isHome) {
 			continue
 		}
 		if !full && choices == nil {
 			choices = p.choices(j, round.cached)
 		}
-		full = full || !p.teams.fits(spec) || !p.place(j, id, task, choices)
+		full = full || !p.placeNext(j, id, choices, round)
 		if !full {
-			p.teams.take(spec)
 			continue
 		}
 		if round.cached {
@@ -147,6 +147,22 @@
 	}
 }
 
+// placeNext lets one more task of a job go somewhere; false: its team has no room for it, or
+// nothing can take it now.
+func (p *placing) placeNext(j *Job, id domain.TaskID, choices []policy.Choice, round placeRound) bool {
+	if !p.teams.allows(j) {
+		return false
+	}
+	if p.place(j, id, choices) {
+		p.teams.take(j.Header.Spec)
+		return true
+	}
+	if !round.cached {
+		p.c.noteWait(j, WaitsForMachine, p.teams.claims, p.teams.used[j.Header.Spec.Team])
+	}
+	return false
+}
+
 // mayQueueMore tells whether one more task of the job may wait in a queue here.
 func (j *Job) mayQueueMore() bool {
 	return j.queuedHere < tuning.QueuedPerJob && !(j.isDoubtful() && j.counts.booked+j.queuedHere > 0)
@@ -194,11 +210,11 @@
 
 // place draws where one task goes, from the choices of its job, and lets it go there; false:
 // nothing can take it now, or it drew to stay in the shard's pool.
-func (p *placing) place(j *Job, id domain.TaskID, task domain.Task, choices []policy.Choice) bool {
+func (p *placing) place(j *Job, id domain.TaskID, choices []policy.Choice) bool {
 	c, spec := p.c, j.Header.Spec
 	offers := leastLoaded(choices, tuning.MaxDrawTargets)
 	// A task is handed over once at most, so that it can't wander.
-	if task.Shard == "" && !c.queues.tasksStaying[id] && !p.largeFleet {
+	if j.task(id.Index).Shard == "" && !c.queues.tasksStaying[id] && !p.largeFleet {
 		if len(offers) == 0 {
 			offers = append(offers, policy.Choice{Name: c.cfg.Node, Load: c.meanLoad(), Ref: noTarget})
 		}
@@ -283,7 +299,7 @@
 			if !c.queues.isIn(id, m) || j == nil || j.Header.Spec == nil {
 				continue
 			}
-			if !room.fits(j.Header.Spec) {
+			if !room.allows(j) {
 				c.dequeue(id) // another shard took the room meanwhile
 				continue
 			}
@@ -293,13 +309,18 @@
 	return room
 }
 
-// fits tells whether the team of a job may start one more task of it.
-func (r *teamRoom) fits(spec *domain.JobSpec) bool {
+// allows tells whether the team of a job may start one more task of it.
+func (r *teamRoom) allows(j *Job) bool {
 	if !r.c.guard(GuardQuota) {
 		return true
 	}
-	limit, used := r.c.cfg.Teams[spec.Team].Limit, r.used[spec.Team]
-	return r.claims[spec.Team].admits(spec, used, limit)
+	spec := j.Header.Spec
+	used := r.used[spec.Team]
+	verdict := r.claims[spec.Team].judge(spec, used, r.c.cfg.Teams[spec.Team].Limit)
+	if verdict != quota.Admitted {
+		r.c.noteWait(j, waitReasons[verdict], r.claims, used)
+	}
+	return verdict == quota.Admitted
 }
 
 // take counts one more task of a job as started.
--- a/internal/scheduler/plan_bookings.go
+++ b/internal/scheduler/plan_bookings.go
@@ -82,10 +82,11 @@
 			continue
 		}
 		spec := j.Header.Spec
-		if !c.quotaAllows(spec, d, claims) {
+		if !c.quotaAllows(j, d, claims) {
 			continue // waits for its team without blocking others
 		}
 		if !free.Fits(spec.Request) {
+			c.noteWait(j, WaitsForMachine, claims, d.teamUsed(spec.Team))
 			return bookingCandidate{}, false // first come, first served
 		}
 		return bookingCandidate{machine: m, task: id, job: j, isOwed: d.isOwed(spec)}, true
@@ -106,7 +107,7 @@
 // isHeldBack tells whether a task doesn't start now: its job pauses after an error, or it
 // is about to be handed over.
 func (p *planner) isHeldBack(j *Job, id domain.TaskID, now time.Duration) bool {
-	return int64(now) < j.pausedUntil || p.taskHandovers[id] != "" || p.jobHandovers[id.Job] != ""
+	return j.isPaused(now) || p.taskHandovers[id] != "" || p.jobHandovers[id.Job] != ""
 }
 
 // bookCandidates books those that the draft and their teams' limits take, and tells whether
@@ -115,7 +116,7 @@
 	anyBooked := false
 	for _, candidate := range candidates {
 		j := candidate.job
-		if !c.quotaAllows(j.Header.Spec, d, claims) {
+		if !c.quotaAllows(j, d, claims) {
 			continue
 		}
 		if !d.hasRoomToGrow(j, candidate.task.Index) {
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -22,15 +22,15 @@
 	aheadOfGangs bool
 }
 
-// allows tells whether one more task of a job leaves what the team's waiting jobs claim.
-func (q quotaClaim) allows(spec *domain.JobSpec, used, limit domain.Resources) bool {
-	return q.Allows(quota.Task{Job: spec.ID, Request: spec.Request, PlacedByLeader: placedByLeader(spec)}, used, limit)
+// judge tells whether one more task of a job stays within the team's limit and leaves what the
+// team's waiting jobs claim of it, or what keeps it from that.
+func (q quotaClaim) judge(spec *domain.JobSpec, used, limit domain.Resources) quota.Verdict {
+	return q.Judge(quota.Task{Job: spec.ID, Request: spec.Request, PlacedByLeader: placedByLeader(spec)}, used, limit)
 }
 
-// admits tells whether one more task of a job stays within the team's limit, and leaves what
-// the team's waiting jobs claim.
+// admits tells whether one more task of a job may start, as far as the team's limit goes.
 func (q quotaClaim) admits(spec *domain.JobSpec, used, limit domain.Resources) bool {
-	return quota.Within(used.Plus(spec.Request, 1), limit) && q.allows(spec, used, limit)
+	return q.judge(spec, used, limit) == quota.Admitted
 }
 
 // teamUsed is what counts against a team's limit: what the other controllers have set aside,
@@ -89,7 +89,7 @@
 		claim.LongWaiting[j.ID] = true
 		added = true
 	}
-	if claim.StarvingJob == "" && c.isStarving(j, placed) && int64(c.now) >= j.pausedUntil {
+	if claim.StarvingJob == "" && c.isStarving(j, placed) && !j.isPaused(c.now) {
 		claim.StarvingJob, claim.StarvingRequest = j.ID, j.Header.Spec.Request
 		claim.aheadOfGangs = age < tuning.StarveAfter+tuning.GangBlock
 		added = true
@@ -103,6 +103,7 @@
 	if placed.queued > 0 && spec.Shape == domain.Gang {
 		claim.GangStarves = claim.GangStarves || j.blocksOthers(c.now)
 		if claim.WaitingGangs == 0 {
+			claim.FirstGang = j.ID
 			claim.GangRequest = domain.Resources{}.Plus(spec.Request, int64(spec.TaskCount))
 		}
 		claim.WaitingGangs++
@@ -113,19 +114,22 @@
 // quotaAllows tells whether a task that is placed by itself may start within its team's limit:
 // it must fit, and must not take the room that a waiting gang needs. What no gang can use,
 // such tasks may.
-func (c *Controller) quotaAllows(spec *domain.JobSpec, d *draft, claims map[string]quotaClaim) bool {
-	limit, used := c.cfg.Teams[spec.Team].Limit, d.teamUsed(spec.Team)
+func (c *Controller) quotaAllows(j *Job, d *draft, claims map[string]quotaClaim) bool {
 	if !c.guard(GuardQuota) {
 		return true
 	}
-	if !quota.Within(used.Plus(spec.Request, 1), limit) {
-		return false
-	}
-	if c.avoidsShare(spec.Team) && !d.ownShareFits(spec) {
+	spec := j.Header.Spec
+	limit, used := c.cfg.Teams[spec.Team].Limit, d.teamUsed(spec.Team)
+	if quota.Within(used.Plus(spec.Request, 1), limit) && c.avoidsShare(spec.Team) && !d.ownShareFits(spec) {
 		c.planner.dirty = true
+		c.noteWait(j, WaitsForShare, claims, used)
 		return false
 	}
-	return claims[spec.Team].allows(spec, used, limit)
+	verdict := claims[spec.Team].judge(spec, used, limit)
+	if verdict != quota.Admitted {
+		c.noteWait(j, waitReasons[verdict], claims, used)
+	}
+	return verdict == quota.Admitted
 }
 
 // ownShareFits tells whether one more task goes into this controller's share as it is,
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -35,6 +35,10 @@
 	Machines  int           // known here
 	OpenJobs  int           // accepted and not over
 	Work      Work
+
+	// Waiting counts the waiting tasks that this controller places, as of the last second.
+	// It is not changed later.
+	Waiting map[WaitingTasks]int
 }
 
 // Status returns the controller's status as of the last step.
@@ -46,6 +50,7 @@
 		Machines:  len(c.heartbeats.machines),
 		OpenJobs:  len(c.cache.openJobs),
 		Work:      c.Work,
+		Waiting:   c.waitingTasks(),
 	}
 	if c.cache.view != nil {
 		status.Epoch, status.Leader, status.Leads = c.cache.view.Epoch, c.cache.view.Leader, c.isLeader()
--- a/internal/scheduler/steal.go
+++ b/internal/scheduler/steal.go
@@ -115,7 +115,7 @@
 // isWaiting tells whether a task of a job waits to be booked and may be so now: the job is
 // not over, and not paused after errors.
 func (c *Controller) isWaiting(j *Job, index int) bool {
-	return j.Header.State == domain.StateOpen && j.task(index).State == domain.Queued && int64(c.now) >= j.pausedUntil
+	return j.Header.State == domain.StateOpen && j.task(index).State == domain.Queued && !j.isPaused(c.now)
 }
 
 // stealLocal moves waiting tasks from the queues of this shard's machines to those that have
--- a/internal/scheduler/task_ends.go
+++ b/internal/scheduler/task_ends.go
@@ -28,6 +28,9 @@
 			j.failures++
 			j.pausedUntil = int64(c.now + min(tuning.ErrorPause<<min(j.failures, 10), tuning.MaxErrorPause))
 		}
+		if j.phase == phaseOpen && j.isPaused(c.now) {
+			c.noteWait(j, WaitsForPause, nil, c.teamUsed(spec.Team, nil))
+		}
 		c.learner.recordFinish()
 	})
 }
@@ -38,7 +41,7 @@
 	m.countFailure(j.ID, now)
 	// Until it shows whose fault it is, the machine is given less to fail.
 	m.noBookingsUntil = now + min(time.Duration(m.failureSum())*tuning.RefusedPause, tuning.MaxErrorRowPause)
-	if int64(now) >= j.pausedUntil { // its tasks that fail together count as one try
+	if !j.isPaused(now) { // its tasks that fail together count as one try
 		j.failures++
 	}
 	j.pausedUntil = int64(now + min(tuning.ErrorPause<<min(j.failures-1, 10), tuning.MaxErrorPause))
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -47,7 +47,7 @@
 		guarantee := c.cfg.Teams[spec.Team].Guarantee
 		withJob := accepted[spec.Team].Plus(spec.Request, int64(j.Header.TaskCount-j.counts.done))
 		accepted[spec.Team] = withJob
-		if j.counts.queued == 0 || placedByLeader(spec) || int64(c.now) < j.pausedUntil {
+		if j.counts.queued == 0 || placedByLeader(spec) || j.isPaused(c.now) {
 			continue
 		}
 		isOwed := guarantee != (domain.Resources{}) && quota.Within(withJob, guarantee) && j.age(c.now).Seconds() <= c.cfg.GuaranteeWithin
--- /dev/null
+++ b/internal/scheduler/wait_reasons_test.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"brassglade/internal/codec"
+	"brassglade/internal/domain"
+)
+
+// waitLines are the log lines of the present step about jobs that wait, as job and reason.
+func waitLines(c *Controller) (lines []string) {
+	for _, effect := range c.effects {
+		if line, ok := effect.(LogLine); ok && line.Message == "job waits" {
+			lines = append(lines, fmt.Sprint(line.Args[1], " ", line.Args[5], " ", line.Args[len(line.Args)-1]))
+		}
+	}
+	return lines
+}
+
+// waitingJob is a controller with a machine of 16 cores in whose queue the four tasks of job 2
+// wait, of four cores each, and a limit that has room for them.
+func waitingJob(t *testing.T) (*Controller, *Machine) {
+	t.Helper()
+	spec := &domain.JobSpec{Class: "c", Team: "red", Shape: domain.Array, Priority: 1, TaskCount: 4, Request: domain.Resources{CPU: 4000}, EstimatedRuntime: 10}
+	c, m := withLimitedTeam(t, codec.JobHeader{State: domain.StateOpen, TaskCount: 4, ChunkSize: 4, Shard: "c-0", AcceptOrder: 3, Spec: spec})
+	clear(c.commits.avoidUntil)
+	c.cfg.Teams = map[string]domain.Quota{"red": {Limit: domain.Resources{CPU: 40000}}}
+	return c, m
+}
+
+// applyGang has a gang of the team wait that takes so many cores.
+func applyGang(c *Controller, cores int64) {
+	header := codec.JobHeader{State: domain.StateOpen, TaskCount: 2, ChunkSize: 2, Shard: "c-0", AcceptOrder: 4,
+		Spec: &domain.JobSpec{Class: "g", Team: "red", Shape: domain.Gang, Priority: 1, TaskCount: 2, Request: domain.Resources{CPU: 500 * cores}, EstimatedRuntime: 10}}
+	c.apply(domain.KeyValue{Key: codec.KeyJob(jobName(3)), ModRevision: 7, Value: codec.Encode(header)})
+}
+
+// TestWhyAJobWaits: what keeps a job's tasks from starting is logged once, with the job that
+// room is kept for, and its tasks are counted under it.
+func TestWhyAJobWaits(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		change  func(*Controller, *Machine)
+		reason  WaitReason
+		keptFor string
+	}{
+		{"the limit is used by another controller", func(c *Controller, _ *Machine) {
+			c.cfg.Teams = map[string]domain.Quota{"red": {Limit: domain.Resources{CPU: 12000}}}
+		}, WaitsForLimit, ""},
+		{"the team's key lost a conflict", func(c *Controller, _ *Machine) {
+			c.commits.avoidUntil[codec.PrefixTeam+"red"] = time.Hour
+			c.cache.shares["red"].ByNode["c-0"] = domain.Resources{CPU: 1000}
+		}, WaitsForShare, ""},
+		{"a gang of the team waits", func(c *Controller, _ *Machine) { applyGang(c, 28) }, WaitsForGangs, jobName(3)},
+		{"a job of the team starves", func(c *Controller, _ *Machine) {
+			c.cache.jobs[jobName(1)].readyAt = int64(c.now) - int64(time.Hour)
+			c.cache.jobs[jobName(1)].Header.Spec.Request.CPU = 28000
+		}, WaitsForStarvingJob, jobName(1)},
+		{"the machine is full", func(c *Controller, m *Machine) {
+			c.cache.occupancy[m.Name] = occupancy{taskSum: taskSum{used: domain.Resources{CPU: 14000}}}
+		}, WaitsForMachine, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, m := waitingJob(t)
+			test.change(c, m)
+			c.effects = nil
+			for range 2 {
+				c.planBookings(c.newDraft())
+			}
+			want := fmt.Sprint(jobName(2), " ", test.reason, " ", test.keptFor)
+			if lines := waitLines(c); len(lines) != 1 || lines[0] != want {
+				t.Errorf("logged %q, want %q once", lines, want)
+			}
+			if got := c.Status().Waiting[WaitingTasks{"red", test.reason}]; got != 4 {
+				t.Errorf("%d tasks are counted: %v", got, c.Status().Waiting)
+			}
+		})
+	}
+}
+
+// TestPausedJobIsCounted: tasks that pause after errors are counted so, whatever kept them
+// before, and none once all are booked.
+func TestPausedJobIsCounted(t *testing.T) {
+	c, _ := waitingJob(t)
+	j := c.cache.jobs[jobName(2)]
+	j.waitReason, j.pausedUntil = WaitsForMachine, int64(c.now+time.Second)
+	if got := c.Status().Waiting; got[WaitingTasks{"red", WaitsForPause}] != 4 {
+		t.Errorf("counted %v", got)
+	}
+	for i := range 4 {
+		c.setTask(j, i, domain.Task{State: domain.Booked, Attempt: 1, Machine: "n-000001", AgentEpoch: 1, Shard: "c-0"})
+	}
+	c.now += 2 * time.Second
+	if got := c.Status().Waiting; len(got) != 1 || got[WaitingTasks{"red", WaitsForNothing}] != 4 {
+		t.Errorf("counted %v, want job 1 alone", got)
+	}
+	if j.waitReason != WaitsForNothing {
+		t.Errorf("a job without waiting tasks keeps reason %s", j.waitReason)
+	}
+}
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -16,6 +16,9 @@
 	// RequestTimeout ends a request that the scheduler did not reply to. Workers drop
 	// answers after 4 s, so that nothing later is of use to them.
 	RequestTimeout = 3500 * time.Millisecond
+	// WaitCountInterval is the pause between counts of waiting tasks by reason, which walk all
+	// open jobs. Only the metrics ask for them.
+	WaitCountInterval = time.Second
 	// Seed is that of random draws; the controller's name is mixed in. It is fixed, so that
 	// a day can be played again.
 	Seed = 1
