Review: the scripts end all that they started also when they are interrupted

Tried on a fresh clone: run.sh ended by TERM or KILL, and its program killed. Each time the three controllers, and after the first two the program too, went on; after a normal end nothing was left.

--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -19,6 +19,9 @@
 	statusFailed = 2 // the case couldn't run
 )
 
+// runLimit is how long a case may take.
+const runLimit = 117 * time.Second
+
 // startLimit is how long all controllers together may take to be up.
 const startLimit = 15 * time.Second
 
@@ -78,7 +81,7 @@
 	}
 	defer d.Close()
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	finished := make(chan error, 1)
 	go func() {
 		if err := d.StartAll(startLimit); err != nil {
@@ -89,6 +92,8 @@
 	}()
 	select {
 	case err = <-finished:
+	case <-time.After(runLimit):
+		err = errors.New("the case takes too long")
 	case s := <-interrupted:
 		err = fmt.Errorf("ended by %v", s)
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -176,18 +178,28 @@
 	command := exec.Command(c.options.Program, append(words[1:], c.settings)...) // #nosec: the project's own program
 	command.Stderr = log
 	command.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
-	if err := command.Start(); err != nil {
-		return err
-	}
-	ended := make(chan struct{})
-	c.command, c.ended = command, ended
-	c.record.Logf("controller %s: process started on %s", c.Name, c.ServeOn)
+	// The system kills the controller when the thread that started it ends, and so with this process,
+	// however that ends. The thread is therefore kept until the controller has ended.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	ended, started := make(chan struct{}), make(chan error)
 	go func() {
-		err := command.Wait()
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := command.Start()
+		started <- err
+		if err != nil {
+			return
+		}
+		err = command.Wait()
 		_ = log.Close()
 		c.record.Logf("controller %s: process ended: %v", c.Name, err)
 		close(ended)
 	}()
+	if err := <-started; err != nil {
+		return err
+	}
+	c.command, c.ended = command, ended
+	c.record.Logf("controller %s: process started on %s", c.Name, c.ServeOn)
 	return nil
 }
 
