--- a/review/outside/sites.go
+++ b/review/outside/sites.go
@@ -37,6 +37,34 @@
 	return site, flavors, capacity
 }
 
+// Sewers returns the deployment of the site file bystrzyca-sewers: its settings, machine types and
+// capacity.
+func Sewers() (Site, []Flavor, map[Kind]int) {
+	zones := []string{"zabie-hall", "szczytna-hall"}
+	site := Site{
+		Zones: []string{zones[0], zones[1], zones[0]}, AllZones: zones,
+		Teams: []Team{{Name: "kanalarze"}},
+		Objectives: []map[string]any{
+			{"kind": "finished", "class": "crawlframes", "within_s": 50.0, "share": 0.9},
+			{"kind": "finished", "class": "crawlframes", "within_s": 100.0, "share": 0.99},
+			{"kind": "wait", "class": "kanalmap", "within_s": 18.0, "share": 0.992},
+		},
+		Workers: map[string]float64{"report_s": 4, "lease_s": 18, "gang_wait_s": 40, "gang_peer_s": 4, "cancel_s": 43},
+		State:   StateLimits{RPS: 100, WriteRPS: 25, ValueKB: 32, TxnOps: 16}, CloudRPS: 8, ListLagS: 8,
+		CPU: 0.3, RAM: 125, Connections: 1800, SkewMS: 100,
+	}
+	flavors := []Flavor{
+		{Name: "kolektor", Cores: 32, MemGb: 128, CacheGb: 30, PullGbPerS: 0.6, Hourly: 1.36, SpotPrice: 0.29, BootS: 50, Yards: zones},
+		{Name: "przepompownia", Cores: 64, MemGb: 512, CacheGb: 30, PullGbPerS: 0.4, Hourly: 3.38, SpotPrice: 0.83, BootS: 25, Yards: zones},
+	}
+	capacity := map[Kind]int{
+		{"kolektor", zones[0], false}: 120, {"kolektor", zones[0], true}: 120, {"kolektor", zones[1], false}: 200, {"kolektor", zones[1], true}: 200,
+		{"przepompownia", zones[0], false}: 48, {"przepompownia", zones[0], true}: 55,
+		{"przepompownia", zones[1], false}: 70, {"przepompownia", zones[1], true}: 80,
+	}
+	return site, flavors, capacity
+}
+
 // QuickBoot is the boot time of the stand-in's machines: "at times machines are up within a second
 // or two".
 const QuickBoot = 2 * time.Second
--- a/review/outside/state.go
+++ b/review/outside/state.go
@@ -45,6 +45,7 @@
 type State struct {
 	mu        sync.Mutex
 	entries   map[string]entry
+	keys      []string // of entries, sorted; nil: to be sorted anew
 	revision  uint64
 	first     uint64 // revisions up to this one are no longer in history
 	history   []change
@@ -153,7 +154,11 @@
 				continue
 			}
 			delete(s.entries, c.Delete)
+			s.keys = nil
 		} else {
+			if _, ok := s.entries[c.Set]; !ok {
+				s.keys = nil
+			}
 			s.entries[c.Set] = entry{value: c.Value, stamp: s.revision, lease: c.Permit}
 		}
 		c.Permit = 0
@@ -241,15 +246,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var keys []string
-	for key := range s.entries {
-		if strings.HasPrefix(key, q.Get("Starts")) && key > q.Get("Since") {
-			keys = append(keys, key)
+	if s.keys == nil {
+		for key := range s.entries {
+			s.keys = append(s.keys, key)
 		}
+		sort.Strings(s.keys)
 	}
-	sort.Strings(keys)
+	from := sort.SearchStrings(s.keys, max(q.Get("Starts"), q.Get("Since")))
 	items, bytes, truncated := []listedItem{}, 0, false
-	for _, key := range keys {
+	for _, key := range s.keys[from:] {
+		if key <= q.Get("Since") || !strings.HasPrefix(key, q.Get("Starts")) {
+			continue
+		}
 		e := s.entries[key]
 		bytes += len(key) + len(e.value) + 60
 		if len(items) == page || bytes > 500<<10 {
