Room on a machine counts the bytes of its report

Cause: room was resources alone. A report lists every task on its machine, a request body has 64 KiB, and 1,282 tasks took 69,554 bytes. Every controller answered 400, so that the owner knew only that the machine was silent, and returned it after 13 s; scaling counted in the same way and rented one more. Evidence: the tasks of each report, counted in a trial build: all fetching or running; no refused or ended one, no earlier attempt, answers of 37 to 49 KB, no refusal by the state service.

Change: room is resources and bytes of the report (machineRoom), each task at its longest entry, and freeOn returns it. Places that ask it: queues and draws of the shards, local and remote steals, gangs, large arrays, jobs placed task by task by the leader, machines of peers, preemption, scale-out (existing, booting and planned machines, kinds by price), zones, reservations, rest, returns, the choice of a shard. What is booked beyond it, by an earlier version or two controllers at once: the start is left out of the answer, the booking released and made elsewhere. Answers and direct requests end at 64 KiB; the rest goes into the next one. Peers' messages stay as they are: a steal asks for fewer tasks where the report has little room. The log line "malformed report" has the reason.

--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -165,7 +165,7 @@
 	}
 	if err != nil {
 		slog.Info("malformed report", "from", c.Request().RemoteAddr, "bytes", len(body),
-			"count", h.malformedHeartbeats.Add(1))
+			"error", err.Error(), "count", h.malformedHeartbeats.Add(1))
 		return badRequest("malformed report")
 	}
 	effect, ok := h.backend.Request(true, func(requestID uint64) scheduler.Event {
--- a/internal/scheduler/cache.go
+++ b/internal/scheduler/cache.go
@@ -11,6 +11,8 @@
 // cache is this controller's copy of the key-value store, built from the watch, snapshots and
 // this controller's own commits, with indexes over it. Every change to it goes through apply.
 type cache struct {
+	reportBytes int64 // room for tasks in the report of an empty machine
+
 	revision        uint64            // all changes up to this revision have been applied
 	modRevisions    map[string]uint64 // key -> revision of the value that was applied last
 	loadingSnapshot bool              // apply is called for a snapshot, whose items may be old
@@ -50,15 +52,15 @@
 
 // taskSum is the total of some of the tasks booked on a machine.
 type taskSum struct {
-	used      domain.Resources
+	used      machineRoom
 	tasks     int
 	runTimeMS int64 // expected run times, ms
 }
 
 // add adds the given number of tasks of one request and expected run time; a negative number
 // subtracts them.
-func (s *taskSum) add(request domain.Resources, runTimeMS, times int64) {
-	s.used = s.used.Plus(request, times)
+func (s *taskSum) add(request machineRoom, runTimeMS, times int64) {
+	s.used = s.used.plus(request, times)
 	s.tasks += int(times)
 	s.runTimeMS += times * runTimeMS
 }
@@ -79,8 +81,9 @@
 }
 
 // newCache returns an empty cache.
-func newCache() cache {
+func newCache(reportBytes int64) cache {
 	return cache{
+		reportBytes:      reportBytes,
 		modRevisions:     map[string]uint64{},
 		members:          map[string]string{},
 		announcedFormats: map[string]int{},
--- a/internal/scheduler/cache_jobs.go
+++ b/internal/scheduler/cache_jobs.go
@@ -185,12 +185,13 @@
 	}
 	runTimeMS := c.bookings[id].runTimeMS
 	sums := c.occupancy[task.Machine]
-	sums.add(spec.Request, runTimeMS, times)
+	room := roomForTask(spec)
+	sums.add(room, runTimeMS, times)
 	if reservesMachines(spec) {
 		sums.gangTasks += int(times)
 	}
 	if preemptible(spec) {
-		sums.preemptible.add(spec.Request, runTimeMS, times)
+		sums.preemptible.add(room, runTimeMS, times)
 	}
 	sums.zone = task.Zone
 	c.occupancy[task.Machine] = sums
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -64,10 +64,13 @@
 // task may be submitted at any moment.
 func (c *cache) hasRoomForSmallTask(m *Machine) bool {
 	capacity := c.machineType(m.Type).Capacity
-	small := domain.Resources{
-		CPU: capacity.CPU / tuning.SmallTaskDivisor, GPU: capacity.GPU / tuning.SmallTaskDivisor, Memory: capacity.Memory / tuning.SmallTaskDivisor,
+	small := machineRoom{
+		resources: domain.Resources{
+			CPU: capacity.CPU / tuning.SmallTaskDivisor, GPU: capacity.GPU / tuning.SmallTaskDivisor, Memory: capacity.Memory / tuning.SmallTaskDivisor,
+		},
+		reportBytes: tuning.MaxTaskReportBytes,
 	}
-	return c.freeOn(m.Name, capacity, nil).Fits(small)
+	return c.freeOn(m.Name, capacity, nil).fits(small)
 }
 
 // answerHeartbeat answers a heartbeat with 200 and the commands that follow from committed
@@ -107,10 +110,12 @@
 }
 
 // commandsFor returns the commands for m: stops first, then tasks to forget, then starts, so
-// that room is freed before it is used. sequence is that of the heartbeat being answered.
+// that room is freed before it is used. sequence is that of the heartbeat being answered. Commands
+// that don't fit into one answer are left to the next one.
 func (c *Controller) commandsFor(m *Machine, sequence uint64) []domain.Command {
 	stops, forgets := c.commandsForReported(m)
-	return slices.Concat(stops, forgets, c.startsFor(m, sequence))
+	commands, _ := splitByMessage(slices.Concat(stops, forgets))
+	return append(commands, c.startsFor(m, sequence, newStartBudget(m, commands))...)
 }
 
 // commandsForReported returns the stops for live tasks that m reports, and the commands to
@@ -132,17 +137,28 @@
 	return stops, forgets
 }
 
-// startsFor returns the starts of the tasks that are booked on m and may start.
-func (c *Controller) startsFor(m *Machine, sequence uint64) []domain.Command {
+// startsFor returns the starts of the tasks that are booked on m and may start, as far as the
+// budget has room for them.
+func (c *Controller) startsFor(m *Machine, sequence uint64, budget startBudget) []domain.Command {
 	var starts []domain.Command
+	clear(m.unlistable)
 	for _, id := range sortedTasks(c.cache.bookedOn[m.Name]) {
 		j := c.cache.jobs[id.Job]
 		task := j.task(id.Index)
 		if c.startRefusalFor(m, j, id, task) != startAllowed {
 			continue
 		}
-		m.startsSent[attemptID{id, task.Attempt}] = sequence
-		starts = append(starts, domain.Command{Kind: domain.StartTask, Task: id, Attempt: task.Attempt, Reason: domain.ReasonBooked})
+		attempt := attemptID{id, task.Attempt}
+		start := domain.Command{Kind: domain.StartTask, Task: id, Attempt: task.Attempt, Reason: domain.ReasonBooked}
+		switch budget.take(start) {
+		case startFits:
+			m.startsSent[attempt] = sequence
+			starts = append(starts, start)
+		case reportFull:
+			m.unlistable[attempt] = true
+		case answerFull:
+			return starts
+		}
 	}
 	return starts
 }
@@ -333,9 +349,11 @@
 			stops = append(stops, stop)
 		}
 	}
-	if len(stops) > 0 {
+	for len(stops) > 0 {
+		var message []domain.Command
+		message, stops = splitByMessage(stops)
 		m.nextDirectStop.Set(c.now + tuning.StopRepeat)
-		c.logCommands(m, stops)
-		c.emit(SendCommands{Machine: m.Name, Addr: m.Addr, FencingToken: c.cache.view.Epoch, AgentEpoch: m.agentEpoch, Commands: stops})
+		c.logCommands(m, message)
+		c.emit(SendCommands{Machine: m.Name, Addr: m.Addr, FencingToken: c.cache.view.Epoch, AgentEpoch: m.agentEpoch, Commands: message})
 	}
 }
--- a/internal/scheduler/controller.go
+++ b/internal/scheduler/controller.go
@@ -60,7 +60,7 @@
 		rng:        rand.New(rand.NewPCG(cfg.Seed, ownership.Hash(cfg.Controller))),
 		membership: membership.New(membership.Config{FenceAge: cfg.FenceAge, ReadRate: cfg.ReadRate}, incarnation),
 		views:      newViews(),
-		cache:      newCache(),
+		cache:      newCache(cfg.reportBytes()),
 		commits:    newCommits(cfg.WriteRate),
 		requests:   newRequests(),
 		heartbeats: newHeartbeats(),
--- a/internal/scheduler/draft.go
+++ b/internal/scheduler/draft.go
@@ -36,7 +36,7 @@
 	changed        map[domain.TaskID]bool      // tasks whose copies were changed
 	copiedCells    map[string][]int            // by job, first tasks of those of its cells that the draft has copied
 	usageByTeam    map[string]domain.Resources // by team, change of the resources booked by this controller
-	usageByMachine map[string]domain.Resources // by machine, change of its booked resources; negative after releases
+	usageByMachine map[string]machineRoom      // by machine, change of what its bookings use; negative after releases
 
 	// The budget of the transaction, of which each stage may use a part.
 
@@ -69,7 +69,7 @@
 		changed:        map[domain.TaskID]bool{},
 		copiedCells:    map[string][]int{},
 		usageByTeam:    map[string]domain.Resources{},
-		usageByMachine: map[string]domain.Resources{},
+		usageByMachine: map[string]machineRoom{},
 		maxChanges:     c.cfg.TransactionLimit,
 		maxBytes:       tuning.TxnBytes,
 		growth:         map[string]int{},
--- a/internal/scheduler/draft_tasks.go
+++ b/internal/scheduler/draft_tasks.go
@@ -67,7 +67,7 @@
 	d.machines[place.machine] = true
 	d.growth[d.keyOf(j, i)] += d.c.bookingBytes()
 	d.addUsage(j.Header.Spec, 1)
-	d.usageByMachine[place.machine] = d.usageByMachine[place.machine].Plus(j.Header.Spec.Request, 1)
+	d.usageByMachine[place.machine] = d.usageByMachine[place.machine].plus(roomForTask(j.Header.Spec), 1)
 }
 
 // addUsage adds the requests of a number of tasks to the usage of their team by this
@@ -102,7 +102,7 @@
 	spec, task := j.Header.Spec, d.task(j, i)
 	d.releases = append(d.releases, attemptID{domain.TaskID{Job: j.ID, Index: i}, task.Attempt})
 	d.machines[task.Machine] = true
-	d.usageByMachine[task.Machine] = d.usageByMachine[task.Machine].Plus(spec.Request, -1) // this commit may book there again
+	d.usageByMachine[task.Machine] = d.usageByMachine[task.Machine].plus(roomForTask(spec), -1) // this commit may book there again
 	if task.Shard == d.c.cfg.Controller {
 		d.addUsage(spec, -1)
 	}
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -159,7 +159,7 @@
 func (p *gangPass) isCachedSomewhere(spec *domain.JobSpec) bool {
 	for i := range p.machines {
 		m := &p.machines[i]
-		if m.hasImage(spec.Image) && p.c.cache.fitsOn(spec, m, domain.Resources{}, p.draft) {
+		if m.hasImage(spec.Image) && p.c.cache.fitsOn(spec, m, machineRoom{}, p.draft) {
 			return true
 		}
 	}
@@ -169,10 +169,10 @@
 // machinesWithRoom returns the machines of the inventory that are not cordoned and have room for
 // a task of any of the jobs.
 func (c *Controller) machinesWithRoom(jobs []*Job, d *draft) []inventoryMachine {
-	var requests []domain.Resources
+	var requests []machineRoom
 	for _, j := range jobs {
-		if !slices.Contains(requests, j.Header.Spec.Request) {
-			requests = append(requests, j.Header.Spec.Request)
+		if room := roomForTask(j.Header.Spec); !slices.Contains(requests, room) {
+			requests = append(requests, room)
 		}
 	}
 	var machines []inventoryMachine
@@ -190,9 +190,9 @@
 }
 
 // fitsAny reports whether any of the requests fits.
-func fitsAny(free domain.Resources, requests []domain.Resources) bool {
+func fitsAny(free machineRoom, requests []machineRoom) bool {
 	for _, request := range requests {
-		if free.Fits(request) {
+		if free.fits(request) {
 			return true
 		}
 	}
@@ -317,7 +317,7 @@
 func (p *machineChooser) chooseIn(zone string) []assignment {
 	d, j := p.draft, p.job
 	spec := j.Header.Spec
-	chosen := &zoneAssignments{machineChooser: p, zone: zone, used: map[string]domain.Resources{}, byZone: maps.Clone(p.zones)}
+	chosen := &zoneAssignments{machineChooser: p, zone: zone, used: map[string]machineRoom{}, byZone: maps.Clone(p.zones)}
 	room := chosen.machinesWithRoom()
 	used, limit := d.teamUsed(spec.Team), p.maxTasks()
 	for i := 0; i < spec.TaskCount && len(chosen.assignments) < limit; i++ {
@@ -355,8 +355,8 @@
 	*machineChooser
 	zone        string // "": any
 	assignments []assignment
-	used        map[string]domain.Resources // by machine, requests of the assigned tasks
-	byZone      map[string]int              // the job's tasks, both booked and assigned
+	used        map[string]machineRoom // by machine, room of the assigned tasks
+	byZone      map[string]int         // the job's tasks, both booked and assigned
 }
 
 // accepts reports whether one more task of the job may be assigned to a machine.
@@ -385,7 +385,7 @@
 func (p *zoneAssignments) add(task int, m *inventoryMachine) {
 	spec := p.job.Header.Spec
 	p.assignments = append(p.assignments, assignment{task: task, machine: m})
-	p.used[m.name] = p.used[m.name].Plus(spec.Request, 1)
+	p.used[m.name] = p.used[m.name].plus(roomForTask(spec), 1)
 	if isSpreadOverZones(spec) {
 		p.byZone[m.zone]++
 	}
--- a/internal/scheduler/guards.go
+++ b/internal/scheduler/guards.go
@@ -55,6 +55,9 @@
 	// looked up (invariant 21).
 	GuardDraft Guard = "draft"
 
+	// GuardReportRoom books no more tasks on a machine than its report can list (invariant 23).
+	GuardReportRoom Guard = "report"
+
 	// GuardDependencies starts no task of a job before all jobs that it depends on are done
 	// (invariant 16).
 	GuardDependencies Guard = "needs"
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -185,8 +185,10 @@
 // running.
 func (c *Controller) recordReportedTasks(m *Machine, heartbeat *domain.Heartbeat) {
 	clear(m.reported)
+	m.listBytes = 0
 	for _, report := range heartbeat.Tasks {
 		m.reported[report.Task] = report
+		m.listBytes += maxReportBytes(report.Task, decimalDigits(report.Attempt))
 		j := c.cache.jobs[report.Task.Job]
 		if report.State != domain.ReportedRunning || j == nil || j.Header.Spec == nil {
 			continue
--- a/internal/scheduler/large_arrays.go
+++ b/internal/scheduler/large_arrays.go
@@ -122,7 +122,7 @@
 func (c *Controller) ownerMachinesWithRoom(d *draft, spec *domain.JobSpec, machines []inventoryMachine, owner string) []*inventoryMachine {
 	var room []*inventoryMachine
 	for i := range machines {
-		if m := &machines[i]; m.owner == owner && c.cache.fitsOn(spec, m, domain.Resources{}, d) {
+		if m := &machines[i]; m.owner == owner && c.cache.fitsOn(spec, m, machineRoom{}, d) {
 			room = append(room, m)
 		}
 	}
@@ -158,7 +158,7 @@
 		m := booking.room[0]
 		d.bookAssignment(j, assignment{task: i, machine: m}, j.task(i).Attempt+1, PassLargeArray)
 		booking.tasks++
-		if !c.cache.freeOn(m.name, c.cache.machineType(m.machineType).Capacity, d).Fits(spec.Request) {
+		if !c.cache.freeOn(m.name, c.cache.machineType(m.machineType).Capacity, d).fits(roomForTask(spec)) {
 			booking.room = booking.room[1:]
 		}
 	}
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -36,7 +36,8 @@
 		return 0
 	}
 	tasks := int64(sum.tasks)
-	mean := domain.Resources{CPU: sum.used.CPU / tasks, GPU: sum.used.GPU / tasks, Memory: sum.used.Memory / tasks}
+	used := sum.used.resources
+	mean := domain.Resources{CPU: used.CPU / tasks, GPU: used.GPU / tasks, Memory: used.Memory / tasks}
 	slots := max(machineType.Capacity.CountFitting(mean, tuning.MaxCountedSlots), 1)
 	runTime := float64(sum.runTimeMS) / 1000 / float64(sum.tasks)
 	if m.runTime.samples >= 3 {
@@ -50,7 +51,7 @@
 func (c *Controller) delayingTasks(m *Machine) taskSum {
 	booked := c.cache.occupancy[m.Name]
 	sum := taskSum{
-		used:      booked.used.Plus(booked.preemptible.used, -1),
+		used:      booked.used.plus(booked.preemptible.used, -1),
 		tasks:     booked.tasks - booked.preemptible.tasks,
 		runTimeMS: booked.runTimeMS - booked.preemptible.runTimeMS,
 	}
@@ -60,7 +61,7 @@
 		}
 		if j := c.cache.jobs[id.Job]; j != nil && j.Header.Spec != nil && !preemptible(j.Header.Spec) {
 			sum.tasks++
-			sum.used = sum.used.Plus(j.Header.Spec.Request, 1)
+			sum.used = sum.used.plus(roomForTask(j.Header.Spec), 1)
 			sum.runTimeMS += int64(1000 * c.queues.runTime(j.Header.Spec))
 		}
 	}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -22,6 +22,7 @@
 	sequence      uint64                              // number of the report within its agent epoch
 	fencingToken  uint64                              // highest epoch of a view under which the agent was answered
 	reported      map[domain.TaskID]domain.TaskReport // every task in the report
+	listBytes     int64                               // most bytes that the report's list of tasks may take
 	byHeartbeat   bool                                // the report was a heartbeat, not a direct answer
 	lastReportAt  time.Duration                       // when the report arrived, or the end of a grace period
 	ownedReportAt time.Duration                       // as lastReportAt, but < 0 until a report arrives in this ownership
@@ -43,6 +44,11 @@
 	// start of the attempt. A later heartbeat without the attempt shows that the start was lost.
 	startsSent map[attemptID]uint64
 
+	// unlistable holds the booked attempts whose start was left out of the last answer because
+	// the agent's report would have become too long. This happens only if more was booked than
+	// a report has room for, by two controllers at once or by an earlier version.
+	unlistable map[attemptID]bool
+
 	lostReplies      int           // consecutive heartbeats that show that an answer had no effect
 	lostRepliesSince time.Duration // when the first of them arrived
 
@@ -63,7 +69,7 @@
 func newMachine(name string) *Machine {
 	return &Machine{
 		Name: name, reported: map[domain.TaskID]domain.TaskReport{}, preemptionAt: -1, answeredAt: -1, ownedReportAt: -1,
-		startsSent: map[attemptID]uint64{}, failures: map[string]failureCount{}, images: map[string]time.Duration{},
+		startsSent: map[attemptID]uint64{}, unlistable: map[attemptID]bool{}, failures: map[string]failureCount{}, images: map[string]time.Duration{},
 		runningSince: map[attemptID]time.Duration{},
 	}
 }
--- a/internal/scheduler/machine_capacity.go
+++ b/internal/scheduler/machine_capacity.go
@@ -6,12 +6,12 @@
 	"brassglade/internal/domain"
 )
 
-// freeOn returns the free resources on a machine of the given size: its size less its committed
-// bookings and those of the draft (nil: none).
-func (c *cache) freeOn(name string, size domain.Resources, d *draft) domain.Resources {
-	free := size.Plus(c.occupancy[name].used, -1)
+// freeOn returns the free room on a machine of the given capacity: that of an empty one less its
+// committed bookings and those of the draft (nil: none).
+func (c *cache) freeOn(name string, capacity domain.Resources, d *draft) machineRoom {
+	free := c.emptyRoom(capacity).plus(c.occupancy[name].used, -1)
 	if d != nil {
-		free = free.Plus(d.usageByMachine[name], -1)
+		free = free.plus(d.usageByMachine[name], -1)
 	}
 	return free
 }
@@ -42,10 +42,10 @@
 }
 
 // fitsOn reports whether a machine is allowed for a job and has room for one more of its tasks,
-// in addition to the draft's bookings and to the resources of tasks that are chosen but not yet
-// in the draft.
-func (c *cache) fitsOn(spec *domain.JobSpec, m *inventoryMachine, chosen domain.Resources, d *draft) bool {
+// in addition to the draft's bookings and to the room of tasks that are chosen but not yet in the
+// draft.
+func (c *cache) fitsOn(spec *domain.JobSpec, m *inventoryMachine, chosen machineRoom, d *draft) bool {
 	machineType := c.machineType(m.machineType)
 	return machineType != nil && allowsMachine(spec, m.machineType, m.zone, m.spot) &&
-		c.freeOn(m.name, machineType.Capacity, d).Plus(chosen, -1).Fits(spec.Request)
+		c.freeOn(m.name, machineType.Capacity, d).plus(chosen, -1).fits(roomForTask(spec))
 }
--- a/internal/scheduler/peers.go
+++ b/internal/scheduler/peers.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		free := roomWithPreemption(c.cache.freeOn(m.name, machineType.Capacity, nil), c.cache.occupancy[m.name].preemptible.used, preemptible(spec))
-		room[m.owner] += free.CountFitting(spec.Request, int64(spec.TaskCount))
+		room[m.owner] += free.countFitting(roomForTask(spec), int64(spec.TaskCount))
 		slots[m.owner] += machineType.Capacity.CountFitting(spec.Request, tuning.MaxCountedSlots)
 	}
 	return room, slots
--- a/internal/scheduler/plan_bookings.go
+++ b/internal/scheduler/plan_bookings.go
@@ -85,7 +85,7 @@
 		if !c.quotaAllows(j, d, claims) {
 			continue // it waits for its team's quota without blocking others
 		}
-		if !free.Fits(spec.Request) {
+		if !free.fits(roomForTask(spec)) {
 			c.recordWaitReason(j, WaitsForMachine, claims, d.teamUsed(spec.Team))
 			return bookingCandidate{}, false // the tasks behind it wait, too
 		}
--- a/internal/scheduler/plan_releases.go
+++ b/internal/scheduler/plan_releases.go
@@ -98,13 +98,14 @@
 }
 
 // willResendStart reports whether the start of a booking that the machine does not know of was
-// lost on the way and will be sent again: the agent that it was for is still there, no commit
-// releases the booking, and the booking is still needed.
+// lost on the way and will be sent again: the agent that it was for is still there and has room for
+// it in its report, no commit releases the booking, and the booking is still needed.
 func (c *Controller) willResendStart(m *Machine, j *Job, id domain.TaskID) bool {
 	task := j.task(id.Index)
+	attempt := attemptID{id, task.Attempt}
 	isForThisAgent := m.agentEpoch == task.AgentEpoch && m.abandonedEpoch < task.AgentEpoch
-	return isForThisAgent && c.cache.cordons[m.Name].State == "" &&
-		!c.planner.pendingReleases[attemptID{id, task.Attempt}] && c.isStillWanted(m, j, id)
+	return isForThisAgent && !m.unlistable[attempt] && c.cache.cordons[m.Name].State == "" &&
+		!c.planner.pendingReleases[attempt] && c.isStillWanted(m, j, id)
 }
 
 // isStillWanted reports whether a booking is still needed: its job is open, its gang was neither
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -13,13 +13,13 @@
 	return spec.Priority == tuning.PriorityIdle && spec.Shape == domain.Array
 }
 
-// roomWithPreemption returns the resources that a task can get on a machine: the free ones and,
-// unless the task is preemptible itself, those held by preemptible tasks.
-func roomWithPreemption(free, heldByPreemptible domain.Resources, isPreemptible bool) domain.Resources {
+// roomWithPreemption returns the room that a task can get on a machine: what is free and, unless
+// the task is preemptible itself, what preemptible tasks hold.
+func roomWithPreemption(free, heldByPreemptible machineRoom, isPreemptible bool) machineRoom {
 	if isPreemptible {
 		return free
 	}
-	return free.Plus(heldByPreemptible, 1)
+	return free.plus(heldByPreemptible, 1)
 }
 
 // planPreemptions chooses the preemptible tasks to stop for tasks that wait in the queue of the
@@ -53,13 +53,13 @@
 // checkpoints, then the others; within each group those booked last come first.
 func (c *Controller) preemptOn(m *Machine) {
 	missing := c.missingRoomOn(m)
-	if missing == (domain.Resources{}) {
+	if missing == (machineRoom{}) {
 		return
 	}
 	for _, id := range c.preemptibleOn(m) {
 		j := c.cache.jobs[id.Job]
 		c.preempt(m, attemptID{id, j.task(id.Index).Attempt})
-		if missing = missing.Plus(j.Header.Spec.Request, -1); (domain.Resources{}).Fits(missing) {
+		if missing = missing.plus(roomForTask(j.Header.Spec), -1); (machineRoom{}).fits(missing) {
 			return
 		}
 	}
@@ -76,26 +76,25 @@
 	c.debug("preempting task for tasks queued on the machine", "task", attempt.Task, "machine", m.Name, "attempt", attempt.Attempt)
 }
 
-// missingRoomOn returns the resources beyond the free ones that the tasks in a machine's queue
-// need to start. It counts them in queue order, up to the first task that would not fit even if
+// missingRoomOn returns the room beyond the free one that the tasks in a machine's queue need to
+// start. It counts them in queue order, up to the first task that would not fit even if
 // all preemptible tasks were stopped.
-func (c *Controller) missingRoomOn(m *Machine) domain.Resources {
+func (c *Controller) missingRoomOn(m *Machine) machineRoom {
 	free := c.cache.freeOn(m.Name, c.cache.machineType(m.Type).Capacity, nil)
 	room := roomWithPreemption(free, c.cache.occupancy[m.Name].preemptible.used, false)
-	var needed domain.Resources
+	var needed machineRoom
 	for _, id := range c.cache.queueByPriority(m) {
 		j := c.cache.jobs[id.Job]
 		if c.queues.machineOf[id] != m.Name || j == nil || j.Header.Spec == nil || preemptible(j.Header.Spec) {
 			continue
 		}
-		next := needed.Plus(j.Header.Spec.Request, 1)
-		if !room.Fits(next) {
+		next := needed.plus(roomForTask(j.Header.Spec), 1)
+		if !room.fits(next) {
 			break
 		}
 		needed = next
 	}
-	missing := needed.Plus(free, -1)
-	return domain.Resources{CPU: max(missing.CPU, 0), GPU: max(missing.GPU, 0), Memory: max(missing.Memory, 0)}
+	return free.shortfall(needed)
 }
 
 // preemptibleOn returns the preemptible tasks on a machine in the order in which they are to be
--- a/internal/scheduler/reservations.go
+++ b/internal/scheduler/reservations.go
@@ -160,7 +160,7 @@
 	machine *machineState
 	price   float64 // per thousandth of a GPU, or of a CPU without GPUs; higher for machines already resting
 	shard   string  // shard whose jobs it runs; "" (any) unless the fleet is large
-	free    domain.Resources
+	free    machineRoom
 }
 
 // shardWork is the part of one job's waiting tasks for which no candidate has room yet. Resting
@@ -181,15 +181,15 @@
 	candidates := c.restCandidates(machines, before)
 	wanted := c.wantedByShard(candidates, pending)
 	c.logMachines(machines, wanted, before)
-	kept := map[string]domain.Resources{}
+	kept := map[string]machineRoom{}
 	for i := range candidates {
 		candidate := &candidates[i]
-		if kept[candidate.shard].Fits(wanted[candidate.shard]) {
+		if kept[candidate.shard].fits(wanted[candidate.shard]) {
 			c.scaling.resting[candidate.machine.Name] = true
 			continue
 		}
 		capacity := c.cache.machineType(candidate.machine.Type).Capacity
-		kept[candidate.shard] = kept[candidate.shard].Plus(capacity, 1)
+		kept[candidate.shard] = kept[candidate.shard].plus(c.cache.emptyRoom(capacity), 1)
 	}
 	c.endRestFor(candidates, pending)
 }
@@ -236,13 +236,13 @@
 	return price * (1.1 - 0.1*min(float64(m.tasks), 10)/10)
 }
 
-// wantedByShard returns the resources that each shard needs for its running and waiting tasks, with
+// wantedByShard returns the room that each shard needs for its running and waiting tasks, with
 // headroom. Work that may run in any shard is counted under "".
-func (c *Controller) wantedByShard(candidates []restCandidate, pending []pendingWork) map[string]domain.Resources {
-	wanted := map[string]domain.Resources{}
+func (c *Controller) wantedByShard(candidates []restCandidate, pending []pendingWork) map[string]machineRoom {
+	wanted := map[string]machineRoom{}
 	for i := range candidates {
 		candidate := &candidates[i]
-		wanted[candidate.shard] = wanted[candidate.shard].Plus(c.cache.occupancy[candidate.machine.Name].used, 1)
+		wanted[candidate.shard] = wanted[candidate.shard].plus(c.cache.occupancy[candidate.machine.Name].used, 1)
 	}
 	isLarge := c.isLargeFleet()
 	for i := range pending {
@@ -254,7 +254,7 @@
 		if isLarge && work.job != nil && !isLargeArray(work.spec) {
 			shard = c.cache.shardOf(work.job)
 		}
-		wanted[shard] = wanted[shard].Plus(work.spec.Request, int64(work.tasks))
+		wanted[shard] = wanted[shard].plus(roomForTask(work.spec), int64(work.tasks))
 	}
 	for shard, room := range wanted {
 		wanted[shard] = withHeadroom(room)
@@ -262,10 +262,13 @@
 	return wanted
 }
 
-// withHeadroom returns the resources increased by tuning.HeadroomPercent.
-func withHeadroom(room domain.Resources) domain.Resources {
+// withHeadroom returns the room increased by tuning.HeadroomPercent.
+func withHeadroom(room machineRoom) machineRoom {
 	grow := func(x int64) int64 { return x + x*tuning.HeadroomPercent/100 }
-	return domain.Resources{CPU: grow(room.CPU), GPU: grow(room.GPU), Memory: grow(room.Memory)}
+	return machineRoom{
+		resources:   domain.Resources{CPU: grow(room.resources.CPU), GPU: grow(room.resources.GPU), Memory: grow(room.resources.Memory)},
+		reportBytes: grow(room.reportBytes),
+	}
 }
 
 // logMachines logs a debug line, "machine states", about all machines every
@@ -277,14 +280,14 @@
 //	d  cordoned (draining or gone)
 //	-  no heartbeat received lately
 //	s  spot machine
-func (c *Controller) logMachines(machines []machineState, wantedByShard map[string]domain.Resources, rested map[string]bool) {
+func (c *Controller) logMachines(machines []machineState, wantedByShard map[string]machineRoom, rested map[string]bool) {
 	if !c.scaling.nextLog.HasPassed(c.now) {
 		return
 	}
 	c.scaling.nextLog.Set(c.now + tuning.ScalingLogInterval)
 	var wanted domain.Resources
 	for _, room := range wantedByShard {
-		wanted = wanted.Plus(room, 1)
+		wanted = wanted.Plus(room.resources, 1)
 	}
 	var tasks strings.Builder
 	for i := range machines {
@@ -344,11 +347,11 @@
 		if c.scaling.resting[m.Name] != resting || candidate.shard != unplaced.shard || !allowsMachine(unplaced.spec, m.Type, m.Zone, m.Spot) {
 			continue
 		}
-		placed := candidate.free.CountFitting(unplaced.spec.Request, unplaced.remaining)
+		placed := candidate.free.countFitting(roomForTask(unplaced.spec), unplaced.remaining)
 		if placed > 0 && resting {
 			delete(c.scaling.resting, m.Name)
 		}
-		candidate.free = candidate.free.Plus(unplaced.spec.Request, -placed)
+		candidate.free = candidate.free.plus(roomForTask(unplaced.spec), -placed)
 		unplaced.remaining -= placed
 	}
 }
--- a/internal/scheduler/scale_out.go
+++ b/internal/scheduler/scale_out.go
@@ -101,14 +101,14 @@
 // existingRoom is the room that a scaleOutPlan leaves on a machine that is running or booting.
 type existingRoom struct {
 	machine     *machineState
-	free        domain.Resources
-	preemptible domain.Resources // held by preemptible tasks
+	free        machineRoom
+	preemptible machineRoom // held by preemptible tasks
 }
 
 // plannedMachine is a machine to be rented, with the room that a scaleOutPlan leaves on it.
 type plannedMachine struct {
 	kind machineKind
-	free domain.Resources
+	free machineRoom
 }
 
 // unplacedWork is pending work with the part of it that a scaleOutPlan has not placed yet.
@@ -125,8 +125,8 @@
 }
 
 // countFitting returns how many of the remaining tasks fit into the given room in a zone.
-func (w *unplacedWork) countFitting(room domain.Resources, zone string) int64 {
-	return room.CountFitting(w.spec.Request, w.zonesLeft.left(zone, w.remaining))
+func (w *unplacedWork) countFitting(room machineRoom, zone string) int64 {
+	return room.countFitting(roomForTask(w.spec), w.zonesLeft.left(zone, w.remaining))
 }
 
 // planScaleOut assigns pending work to machines that are running or booting, and rents machines
@@ -229,7 +229,7 @@
 			continue
 		}
 		placed := unplaced.countFitting(roomWithPreemption(room.free, room.preemptible, preemptible(unplaced.spec)), m.Zone)
-		room.free = room.free.Plus(unplaced.spec.Request, -placed)
+		room.free = room.free.plus(roomForTask(unplaced.spec), -placed)
 		unplaced.recordPlaced(m.Zone, placed)
 	}
 }
@@ -245,7 +245,7 @@
 			continue
 		}
 		placed := unplaced.countFitting(machine.free, machine.kind.zone)
-		machine.free = machine.free.Plus(unplaced.spec.Request, -placed)
+		machine.free = machine.free.plus(roomForTask(unplaced.spec), -placed)
 		unplaced.recordPlaced(machine.kind.zone, placed)
 	}
 }
@@ -268,9 +268,9 @@
 		if !ok {
 			return
 		}
-		capacity := c.cache.machineType(kind.machineType).Capacity
-		placed := max(unplaced.countFitting(capacity, kind.zone), 1)
-		plan.planned = append(plan.planned, plannedMachine{kind, capacity.Plus(unplaced.spec.Request, -placed)})
+		empty := c.cache.emptyRoom(c.cache.machineType(kind.machineType).Capacity)
+		placed := max(unplaced.countFitting(empty, kind.zone), 1)
+		plan.planned = append(plan.planned, plannedMachine{kind, empty.plus(roomForTask(unplaced.spec), -placed)})
 		unplaced.recordPlaced(kind.zone, placed)
 	}
 }
@@ -343,7 +343,7 @@
 		if !machineTypeFits(spec, machineType) {
 			continue
 		}
-		tasks := float64(machineType.Capacity.CountFitting(spec.Request, int64(max(tasksLeft, 1))))
+		tasks := float64(c.cache.emptyRoom(machineType.Capacity).countFitting(roomForTask(spec), int64(max(tasksLeft, 1))))
 		if tasks < 1 {
 			continue
 		}
--- a/internal/scheduler/scaling.go
+++ b/internal/scheduler/scaling.go
@@ -145,10 +145,10 @@
 // return.
 type machineState struct {
 	domain.Instance
-	isReporting bool             // a controller has received its heartbeat recently
-	cordon      domain.Cordon    // committed cordon; zero: none
-	free        domain.Resources // committed free resources
-	tasks       int              // number of booked tasks
+	isReporting bool          // a controller has received its heartbeat recently
+	cordon      domain.Cordon // committed cordon; zero: none
+	free        machineRoom   // left by committed bookings
+	tasks       int           // number of booked tasks
 }
 
 // machines combines the cloud's list, the machines rented here and those whose heartbeats any
@@ -384,7 +384,7 @@
 	for i := range pending {
 		work := &pending[i]
 		hasZone := work.zones.left(m.Zone, int64(work.tasks)) > 0
-		if hasZone && allowsMachine(work.spec, m.Type, m.Zone, m.Spot) && m.free.Fits(work.spec.Request) {
+		if hasZone && allowsMachine(work.spec, m.Type, m.Zone, m.Spot) && m.free.fits(roomForTask(work.spec)) {
 			return true
 		}
 	}
--- a/internal/scheduler/steal.go
+++ b/internal/scheduler/steal.go
@@ -103,14 +103,14 @@
 		allowsMachine(spec, m.Type, m.Zone, m.Spot) && !c.isReserved(m.Name)
 }
 
-// canStart reports whether a waiting task could start now on a machine with these free resources.
-func (c *Controller) canStart(id domain.TaskID, m *Machine, free domain.Resources) bool {
+// canStart reports whether a waiting task could start now on a machine with this free room.
+func (c *Controller) canStart(id domain.TaskID, m *Machine, free machineRoom) bool {
 	j := c.cache.jobs[id.Job]
 	if j == nil || !c.isWaiting(j, id.Index) {
 		return false
 	}
 	spec := j.Header.Spec
-	return free.Fits(spec.Request) && allowsMachine(spec, m.Type, m.Zone, m.Spot) && !m.hasOnlyFailuresOf(j) &&
+	return free.fits(roomForTask(spec)) && allowsMachine(spec, m.Type, m.Zone, m.Spot) && !m.hasOnlyFailuresOf(j) &&
 		quota.Within(c.teamUsed(spec.Team, nil).Plus(spec.Request, 1), c.cfg.Teams[spec.Team].Limit)
 }
 
@@ -131,7 +131,7 @@
 		if len(m.queue) > 0 {
 			continue
 		}
-		if free := c.cache.freeOn(m.Name, c.cache.machineType(m.Type).Capacity, nil); free.CPU != 0 {
+		if free := c.cache.freeOn(m.Name, c.cache.machineType(m.Type).Capacity, nil); free.resources.CPU != 0 {
 			c.stealTo(m, free, from)
 		}
 	}
@@ -152,15 +152,15 @@
 	return backlogged
 }
 
-// isBacklogged reports whether the tasks in a machine's queue need more than its free resources.
+// isBacklogged reports whether the tasks in a machine's queue need more than its free room.
 func (c *Controller) isBacklogged(m *Machine) bool {
 	free := c.cache.freeOn(m.Name, c.cache.machineType(m.Type).Capacity, nil)
 	for _, id := range m.queue {
 		if !c.queues.isQueuedOn(id, m) {
 			continue
 		}
-		free = free.Plus(c.cache.jobs[id.Job].Header.Spec.Request, -1)
-		if free.CPU < 0 || free.GPU < 0 || free.Memory < 0 {
+		free = free.plus(roomForTask(c.cache.jobs[id.Job].Header.Spec), -1)
+		if !free.fits(machineRoom{}) {
 			return true
 		}
 	}
@@ -170,7 +170,7 @@
 // stealTo moves tasks from the queues of backlogged machines to the queue of an idle one, as long
 // as it has room, at most tuning.MaxStolenTasks of them. Each task is drawn from the first ones of
 // the queues that must wait there but can start on the idle machine.
-func (c *Controller) stealTo(m *Machine, free domain.Resources, from []*Machine) {
+func (c *Controller) stealTo(m *Machine, free machineRoom, from []*Machine) {
 	for n := 0; n < tuning.MaxStolenTasks; n++ {
 		var offers []policy.Choice
 		var tasks []domain.TaskID // by Ref of the offer
@@ -188,23 +188,23 @@
 			return
 		}
 		id := tasks[offers[chosen].Ref]
-		free = free.Plus(c.cache.jobs[id.Job].Header.Spec.Request, -1)
+		free = free.plus(roomForTask(c.cache.jobs[id.Job].Header.Spec), -1)
 		c.enqueue(id, m)
 	}
 }
 
 // firstToSteal returns the first task in the queue of one machine that can't start there
-// immediately, but could on another machine with the given free resources. The second result is
+// immediately, but could on another machine with the given free room. The second result is
 // false if there is no such task.
-func (c *Controller) firstToSteal(from, to *Machine, freeThere domain.Resources) (domain.TaskID, bool) {
+func (c *Controller) firstToSteal(from, to *Machine, freeThere machineRoom) (domain.TaskID, bool) {
 	free := c.cache.freeOn(from.Name, c.cache.machineType(from.Type).Capacity, nil)
 	for _, id := range from.queue {
 		if !c.queues.isQueuedOn(id, from) {
 			continue
 		}
 		spec := c.cache.jobs[id.Job].Header.Spec
-		if free.Fits(spec.Request) {
-			free = free.Plus(spec.Request, -1)
+		if room := roomForTask(spec); free.fits(room) {
+			free = free.plus(room, -1)
 			continue // it can start there immediately
 		}
 		if c.canStart(id, to, freeThere) {
@@ -254,14 +254,14 @@
 			continue
 		}
 		sent++
-		maxTasks := tuning.MaxStolenTasks
+		maxTasks := min(tuning.MaxStolenTasks, max(free.reportBytes/tuning.MaxTaskReportBytes, 1))
 		if large {
 			count := idle[machineKind{m.Type, m.Zone, m.Spot}]
-			free, maxTasks = domain.Resources{}.Plus(free, count), tuning.MaxStolenTasks*int(count)
+			free, maxTasks = machineRoom{}.plus(free, count), maxTasks*count
 			sent = tuning.MaxStealRequests // one request for all machines of this kind
 		}
 		c.emit(SendPeerMessage{To: offers[chosen].Name, Message: PeerMessage{Epoch: c.cache.view.Epoch, Steal: &StealRequest{
-			Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free, MaxTasks: maxTasks}}})
+			Type: m.Type, Zone: m.Zone, Spot: m.Spot, Room: free.resources, MaxTasks: int(maxTasks)}}})
 	}
 }
 
@@ -303,10 +303,10 @@
 }
 
 // shardsToAsk returns the shards, ordered by name, that have work for an idle machine.
-func (c *Controller) shardsToAsk(work []stealableWork, m *Machine, free domain.Resources) []policy.Choice {
+func (c *Controller) shardsToAsk(work []stealableWork, m *Machine, free machineRoom) []policy.Choice {
 	shards := map[string]bool{}
 	for _, stealable := range work {
-		if free.Fits(stealable.spec.Request) && allowsMachine(stealable.spec, m.Type, m.Zone, m.Spot) {
+		if free.fits(roomForTask(stealable.spec)) && allowsMachine(stealable.spec, m.Type, m.Zone, m.Spot) {
 			maps.Copy(shards, stealable.shards)
 		}
 	}
@@ -412,8 +412,8 @@
 			if !c.queues.isQueuedOn(id, m) {
 				continue
 			}
-			if spec := c.cache.jobs[id.Job].Header.Spec; free.Fits(spec.Request) {
-				free = free.Plus(spec.Request, -1)
+			if room := roomForTask(c.cache.jobs[id.Job].Header.Spec); free.fits(room) {
+				free = free.plus(room, -1)
 				continue
 			}
 			s.handOverTask(id)
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -13,12 +13,12 @@
 type target struct {
 	machine       *Machine
 	machineType   *domain.MachineType
-	load          float64          // expected delay of a new task, s
-	free          domain.Resources // not booked by any task
-	preemptible   domain.Resources // booked by preemptible tasks
-	queued        int64            // number of tasks in the machine's queue
-	pendingImages []string         // images that its tasks need and it hasn't fetched yet
-	roomIsScarce  bool             // waiting tasks of the shard need more than half of the free resources of its machines
+	load          float64     // expected delay of a new task, s
+	free          machineRoom // not booked by any task
+	preemptible   machineRoom // booked by preemptible tasks
+	queued        int64       // number of tasks in the machine's queue
+	pendingImages []string    // images that its tasks need and it hasn't fetched yet
+	roomIsScarce  bool        // waiting tasks of the shard need more than half of the free resources of its machines
 }
 
 // noTarget is the Ref of choices that are shards, or that have been removed from the draw.
@@ -45,18 +45,18 @@
 }
 
 // setRoomScarcity sets roomIsScarce of all targets: whether the waiting tasks of this shard need
-// more than half of the free resources of its machines, in any kind of resource.
+// more than half of the free room of its machines, in any kind of resource or in their reports.
 func (c *Controller) setRoomScarcity(targets []target) {
-	var want, room domain.Resources
+	var want, room machineRoom
 	for _, j := range c.cache.openJobs {
 		if j.counts.queued > 0 && !placedByLeader(j.Header.Spec) && c.cache.shardOf(j) == c.cfg.Controller {
-			want = want.Plus(j.Header.Spec.Request, int64(j.counts.queued-j.queuedHere))
+			want = want.plus(roomForTask(j.Header.Spec), int64(j.counts.queued-j.queuedHere))
 		}
 	}
 	for i := range targets {
-		room = room.Plus(targets[i].free, 1)
+		room = room.plus(targets[i].free, 1)
 	}
-	isScarce := 2*want.CPU > room.CPU || 2*want.GPU > room.GPU || 2*want.Memory > room.Memory
+	isScarce := !room.fits(want.plus(want, 1))
 	for i := range targets {
 		targets[i].roomIsScarce = isScarce
 	}
@@ -64,18 +64,18 @@
 
 // taskKind holds the properties of a task that decide whether a machine's queue takes it.
 type taskKind struct {
-	request     domain.Resources
-	preemptible bool // queued only where it can start immediately
+	room        machineRoom // of one task
+	preemptible bool        // queued only where it can start immediately
 }
 
 // kindOf returns the kind of a job's tasks. Preemptible tasks of a starving job may wait in queues
 // like all other tasks, since otherwise none of them might ever start.
 func (c *Controller) kindOf(j *Job) taskKind {
-	return taskKind{j.Header.Spec.Request, preemptible(j.Header.Spec) && !c.isStarving(j, placementOf(j, nil))}
+	return taskKind{roomForTask(j.Header.Spec), preemptible(j.Header.Spec) && !c.isStarving(j, placementOf(j, nil))}
 }
 
-// roomFor returns the resources that tasks of a kind can get on the machine.
-func (t *target) roomFor(kind taskKind) domain.Resources {
+// roomFor returns the room that tasks of a kind can get on the machine.
+func (t *target) roomFor(kind taskKind) machineRoom {
 	return roomWithPreemption(t.free, t.preemptible, kind.preemptible)
 }
 
@@ -88,7 +88,7 @@
 	if kind.preemptible {
 		depth = 0
 	}
-	return t.queued >= t.roomFor(kind).CountFitting(kind.request, tuning.MaxCountedSlots)+depth
+	return t.queued >= t.roomFor(kind).countFitting(kind.room, tuning.MaxCountedSlots)+depth
 }
 
 // targetsWithRoom returns the indices of the targets whose queues still take a task of a kind. The
@@ -98,7 +98,7 @@
 	indices, known := p.targetsByKind[kind]
 	if !known {
 		for i := range p.targets {
-			if p.targets[i].machineType.Capacity.Fits(kind.request) {
+			if p.targets[i].machineType.Capacity.Fits(kind.room.resources) {
 				indices = append(indices, i)
 			}
 		}
@@ -172,7 +172,7 @@
 // tasks. The cost is 0 where the task can't start immediately and where resources are scarce.
 func (q *queues) packCost(t *target, spec *domain.JobSpec, kind taskKind, cheapest float64) float64 {
 	slots := t.machineType.Capacity.CountFitting(spec.Request, tuning.MaxCountedSlots)
-	room := t.roomFor(kind).CountFitting(spec.Request, tuning.MaxCountedSlots) - t.queued
+	room := t.roomFor(kind).countFitting(kind.room, tuning.MaxCountedSlots) - t.queued
 	if room <= 0 || slots == 0 {
 		return 0
 	}
--- a/internal/scheduler/zones.go
+++ b/internal/scheduler/zones.go
@@ -92,7 +92,7 @@
 	for i := range machines {
 		m := &machines[i]
 		if m.cordon.State == "" && allowsMachine(spec, m.Type, m.Zone, m.Spot) {
-			room[m.Zone] += m.free.CountFitting(spec.Request, limit)
+			room[m.Zone] += m.free.countFitting(roomForTask(spec), limit)
 		}
 	}
 	return room
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -35,6 +35,9 @@
 	ruleLimit   = "limit"   // no value or transaction exceeds the limits
 	ruleMisread = "misread" // during an upgrade the previous version can rewrite values without loss
 
+	// Messages between machines and controllers.
+	ruleTooLong = "too_long" // no request body and no line of a response exceeds the limit
+
 	// The script itself.
 	ruleScript = "script" // every action of a script can be executed
 )
