Large arrays: a value goes to another owner where its own has no room

Callers saw: tasks of an array of 1,000 and more wait beside empty machines.

Cause: each value of a large array is tied to one owner before it is known who has room (owners[cell % owners]), while scaling counts all machines.

Change: values are served on their own owner's machines first, as before; then, with what is left of the plan, those whose owner has no room left go to the next owner that has. The reason for one owner (few values that each owner's releases change) holds as long as it has room. Weighed and not taken: owners in proportion to their machines, which would give every value a new owner whenever a machine comes or goes.

--- a/internal/scheduler/large_arrays.go
+++ b/internal/scheduler/large_arrays.go
@@ -53,9 +53,10 @@
 }
 
 // bookLargeArray adds bookings of the job's next tasks to the draft. It returns false if the
-// draft is full. Tasks that share a value are booked on machines of one owner: if they were
-// spread over all machines, every owner would change most of the array's values to release its
-// tasks, and such commits would have no room left for the bookings of other jobs.
+// draft is full. Tasks that share a value are booked on machines of one owner as long as it has room
+// for them, and only then on those of others: if they were spread over all machines, every owner
+// would change most of the array's values to release its tasks, and such commits would have no room
+// left for the bookings of other jobs.
 func (c *Controller) bookLargeArray(d *draft, j *Job, machines []inventoryMachine, claims map[string]quotaClaim) bool {
 	if c.isTaskAvoided(j, 0) {
 		return true
@@ -64,27 +65,68 @@
 	if len(owners) == 0 {
 		return true
 	}
-	remaining := d.maxLargeArrayTasks(j)
-	rooms := map[string][]*inventoryMachine{} // by owner
-	for cell, from := 0, 0; from < j.Header.TaskCount && remaining > 0; cell, from = cell+1, j.Header.CellEnd(from) {
-		if !j.anyQueued(from) {
-			continue
+	run := &largeArrayRun{c: c, draft: d, job: j, claims: claims, owners: owners, remaining: d.maxLargeArrayTasks(j)}
+	run.rooms = make([][]*inventoryMachine, len(owners))
+	for i, owner := range owners {
+		run.rooms[i] = c.ownerMachinesWithRoom(d, j.Header.Spec, machines, owner)
+	}
+	return run.bookOnOwnMachines() && run.bookOnOtherMachines()
+}
+
+// largeArrayRun books tasks of one large array in one plan.
+type largeArrayRun struct {
+	c         *Controller
+	draft     *draft
+	job       *Job
+	claims    map[string]quotaClaim
+	owners    []string              // controllers with a machine that can run a task of the job
+	rooms     [][]*inventoryMachine // by index of the owner, its machines that still have room, best first
+	remaining int                   // number of tasks that may still be booked
+}
+
+// bookOnOwnMachines books the tasks of each value on machines of the value's owner. It returns false
+// if the draft is full.
+func (r *largeArrayRun) bookOnOwnMachines() bool {
+	return r.eachWaitingCell(func(cell, from int) bool { return r.book(from, cell%len(r.owners)) })
+}
+
+// bookOnOtherMachines books the tasks of values whose owner has no room on machines of the next
+// owner that has. It returns false if the draft is full.
+func (r *largeArrayRun) bookOnOtherMachines() bool {
+	return r.eachWaitingCell(func(cell, from int) bool {
+		if len(r.rooms[cell%len(r.owners)]) > 0 {
+			return true // the value can't be changed now, or the team's limit has no room
 		}
-		owner := owners[cell%len(owners)]
-		room, known := rooms[owner]
-		if !known {
-			room = c.ownerMachinesWithRoom(d, j.Header.Spec, machines, owner)
+		for step := 1; step < len(r.owners); step++ {
+			if owner := (cell + step) % len(r.owners); len(r.rooms[owner]) > 0 {
+				return r.book(from, owner)
+			}
 		}
-		booking := c.bookCell(d, j, from, remaining, room, claims)
-		remaining -= booking.tasks
-		rooms[owner] = booking.room
-		if booking.draftFull {
+		return true
+	})
+}
+
+// eachWaitingCell calls book for each cell with queued tasks while tasks may be booked. It returns
+// false once book does.
+func (r *largeArrayRun) eachWaitingCell(book func(cell, from int) bool) bool {
+	header := r.job.Header
+	for cell, from := 0, 0; from < header.TaskCount && r.remaining > 0; cell, from = cell+1, header.CellEnd(from) {
+		if r.job.anyQueued(from) && !book(cell, from) {
 			return false
 		}
 	}
 	return true
 }
 
+// book books tasks of the cell that begins with task from on an owner's machines. It returns false
+// if the draft is full.
+func (r *largeArrayRun) book(from, owner int) bool {
+	booking := r.c.bookCell(r.draft, r.job, from, r.remaining, r.rooms[owner], r.claims)
+	r.remaining -= booking.tasks
+	r.rooms[owner] = booking.room
+	return !booking.draftFull
+}
+
 // maxLargeArrayTasks returns how many tasks of a large array one plan may book.
 func (d *draft) maxLargeArrayTasks(j *Job) int {
 	if j.onlyFailed() {
