Commands: sort what is sent, not all that a machine reports

Need: with hundreds of tasks on a machine, sorting its report for direct stops at each review took a quarter of the time of TestSmallTasksFitReports, mostly for no stop at all. Change: stops and tasks to forget are collected from the report and sorted afterwards, in the same order as before; the simulation looks for overdue cancelled tasks only if some cancellation is overdue. Result: TestSmallTasksFitReports and TestOverbookedMachineKeepsReporting 6.8 s, 13.2 s before.

--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -122,8 +122,7 @@
 // forget ended ones. An ended task is forgotten only once its outcome is committed: an agent
 // that has forgotten the attempt would run the task again if the start were sent again.
 func (c *Controller) commandsForReported(m *Machine) (stops, forgets []domain.Command) {
-	for _, id := range sortedTasks(m.reported) {
-		report := m.reported[id]
+	for id, report := range m.reported {
 		if report.State != domain.ReportedEnded {
 			if stop, ok := c.stopCommand(m, report); ok {
 				stops = append(stops, stop)
@@ -134,9 +133,16 @@
 			forgets = append(forgets, domain.Command{Kind: domain.ForgetTask, Task: id, Attempt: report.Attempt, Reason: domain.ReasonOutcomeCommitted})
 		}
 	}
+	sortByTask(stops)
+	sortByTask(forgets)
 	return stops, forgets
 }
 
+// sortByTask sorts commands in place by job and index of their tasks.
+func sortByTask(commands []domain.Command) {
+	slices.SortFunc(commands, func(a, b domain.Command) int { return compareTasks(a.Task, b.Task) })
+}
+
 // startsFor returns the starts of the tasks that are booked on m and may start, as far as the
 // budget has room for them.
 func (c *Controller) startsFor(m *Machine, sequence uint64, budget startBudget) []domain.Command {
@@ -340,8 +346,7 @@
 		return
 	}
 	var stops []domain.Command
-	for _, id := range sortedTasks(m.reported) {
-		report := m.reported[id]
+	for _, report := range m.reported {
 		if report.State == domain.ReportedEnded {
 			continue
 		}
@@ -349,6 +354,7 @@
 			stops = append(stops, stop)
 		}
 	}
+	sortByTask(stops)
 	for len(stops) > 0 {
 		var message []domain.Command
 		message, stops = splitByMessage(stops)
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"brassglade/internal/domain"
@@ -227,15 +227,15 @@
 
 // sortTasks sorts task IDs in place by job and index, and returns them.
 func sortTasks(ids []domain.TaskID) []domain.TaskID {
-	sort.Slice(ids, func(a, b int) bool {
-		if ids[a].Job != ids[b].Job {
-			return ids[a].Job < ids[b].Job
-		}
-		return ids[a].Index < ids[b].Index
-	})
+	slices.SortFunc(ids, compareTasks)
 	return ids
 }
 
+// compareTasks orders task IDs by job and index.
+func compareTasks(a, b domain.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
+
 // isProvenStopped reports whether this controller can prove that a booked task does not run
 // on its machine. It keeps invariant 5 of docs/design.md: a task is booked elsewhere only
 // once its attempt can neither run any more nor be started by an answer that is still in
--- a/internal/simulation/checker_placement.go
+++ b/internal/simulation/checker_placement.go
@@ -14,6 +14,9 @@
 // checkCancelledTasks (ran_cancelled) checks that no task of a cancelled job is on a machine
 // longer than Settings.CancelWithin after its user was told of the cancellation.
 func (c *Cluster) checkCancelledTasks() {
+	if !c.isAnyCancelOverdue() {
+		return
+	}
 	for _, w := range c.workers {
 		if w.isGone {
 			continue
@@ -27,6 +30,16 @@
 	}
 }
 
+// isAnyCancelOverdue reports whether isCancelOverdue holds for any job.
+func (c *Cluster) isAnyCancelOverdue() bool {
+	for _, job := range c.jobs {
+		if c.isCancelOverdue(job) {
+			return true
+		}
+	}
+	return false
+}
+
 // isCancelOverdue reports whether more than Settings.CancelWithin has passed since a job's user
 // was told that it is cancelled, so that none of its tasks may be on a machine.
 func (c *Cluster) isCancelOverdue(job *jobRecord) bool {
