Splits: one bound decides whether a text fits another pack

Cause: moveTarget refused a text above ValueLimit - 2*PackSlack and then looked, without an end, for a pack that has it within PackPercent of the limit. A text between the two (3,073 to 3,296 bytes of 4 KiB) fits no pack, and the event loop stays in the search. Related: in a pack with other jobs, a text above both bounds was neither moved nor split, as the draft held the pack's rewrite already.

--- a/internal/scheduler/splits.go
+++ b/internal/scheduler/splits.go
@@ -104,7 +104,7 @@
 }
 
 // makeRoomInPack moves the job with the longest text out of a pack that had no room for a
-// booking, or splits that job if it is alone in the pack.
+// booking, or splits that job if it is alone in the pack or fits no other.
 func (c *Controller) makeRoomInPack(d *draft, key, pack string) (planned bool) {
 	jobs := c.cache.longestTexts(pack)
 	if c.cache.valueSizes[key] < c.cfg.ValueLimit/2 {
@@ -114,7 +114,8 @@
 	if len(jobs) == 0 {
 		return d.keepIfHeaders(key)
 	}
-	if len(c.cache.jobsByPack[pack]) > 1 {
+	_, isMovable := d.moveTarget(jobs[0])
+	if isMovable && len(c.cache.jobsByPack[pack]) > 1 {
 		if c.moveOrSplit(d, key, jobs[0], slog.LevelDebug) {
 			return true
 		}
@@ -189,8 +190,9 @@
 	}
 	c := d.c
 	need := c.cache.textBytes(j) + len(j.ID) + 3*tuning.TaskBytes
-	if need > c.cfg.ValueLimit-2*tuning.PackSlack {
-		return "", false // it would fill a whole pack, and soon outgrow it
+	most := min(c.cfg.ValueLimit*tuning.PackPercent/100, c.cfg.ValueLimit-2*tuning.PackSlack)
+	if need > most {
+		return "", false // not even an empty pack has room for it
 	}
 	shard, _, _ := strings.Cut(j.Header.Pack, "/")
 	for number := 0; ; number++ {
@@ -199,7 +201,7 @@
 			continue
 		}
 		key := codec.PrefixPack + pack
-		if c.cache.valueSizes[key]+d.growth[key]+need <= c.cfg.ValueLimit*tuning.PackPercent/100 {
+		if c.cache.valueSizes[key]+d.growth[key]+need <= most {
 			return pack, true
 		}
 	}
