JSON of other programs: names of fields match exactly

Cause: goccy/go-json matches names without regard to case, and the last field wins; the protocol has unknown fields ignored. It has no option for it.

Change: a package exactjson on segmentio/encoding, whose decoder can match exactly. Used for submissions, heartbeats, answers to direct commands, the state service, the cloud and the platform's settings, whose error messages stay as they were. Stored values and peers' frames are the program's own and read as before. Not taken: a filter of names before the old decoder (two passes on every report).

Tests: TestFieldsInOtherCaseAreUnknown and TestHeartbeatFieldsInOtherCaseAreUnknown fail before.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -12,6 +12,7 @@
 	json "github.com/goccy/go-json"
 	"github.com/labstack/echo/v4"
 
+	"brassglade/internal/exactjson"
 	"brassglade/internal/scheduler"
 	"brassglade/internal/tuning"
 )
@@ -107,5 +108,9 @@
 
 // Deserialize reads the body of a request.
 func (jsonSerializer) Deserialize(c echo.Context, request any) error {
-	return json.NewDecoder(c.Request().Body).Decode(request)
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	return exactjson.Unmarshal(body, request)
 }
--- a/internal/api/user.go
+++ b/internal/api/user.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"brassglade/internal/domain"
+	"brassglade/internal/exactjson"
 	"brassglade/internal/scheduler"
 	"brassglade/internal/tuning"
 )
@@ -88,14 +89,14 @@
 // of an accepted job is answered with the job's state even if the repetition is malformed.
 func ParseSubmission(body []byte) (id string, spec *domain.JobSpec) {
 	var fields map[string]json.RawMessage
-	if json.Unmarshal(body, &fields) != nil || fields == nil {
+	if exactjson.Unmarshal(body, &fields) != nil || fields == nil {
 		return "", nil
 	}
-	if json.Unmarshal(fields["NameId"], &id) != nil || !jobIDPattern.MatchString(id) {
+	if exactjson.Unmarshal(fields["NameId"], &id) != nil || !jobIDPattern.MatchString(id) {
 		return "", nil
 	}
 	var s submission
-	if json.Unmarshal(body, &s) != nil || submissionValidator.Struct(&s) != nil {
+	if exactjson.Unmarshal(body, &s) != nil || submissionValidator.Struct(&s) != nil {
 		return id, nil
 	}
 	return id, s.jobSpec(id)
--- a/internal/api/user_test.go
+++ b/internal/api/user_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -58,3 +59,19 @@
 		}
 	})
 }
+
+// TestFieldsInOtherCaseAreUnknown guards against unknown fields that replace known ones of a
+// submission, since their names differ only in the case of letters: tasks then started in a wrong
+// zone or on spot machines, and workers were told to run tasks that nobody had submitted.
+func TestFieldsInOtherCaseAreUnknown(t *testing.T) {
+	body := strings.Replace(validSubmission, `"New":{"x":1}`, `"yard":"b","PIECES":5,"loaners":false,"cores":"x","nameid":"job-000001"`, 1)
+	_, want := ParseSubmission([]byte(validSubmission))
+	id, got := ParseSubmission([]byte(body))
+	if id != "job-000412" || !reflect.DeepEqual(got, want) {
+		t.Errorf("id %q, spec %+v, want that of the known fields, %+v", id, got, want)
+	}
+	missing := strings.Replace(validSubmission, `"Pieces":16`, `"pieces":16`, 1)
+	if _, got := ParseSubmission([]byte(missing)); got != nil {
+		t.Error("a submission without Pieces is accepted because of its field pieces")
+	}
+}
--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"strings"
 
-	json "github.com/goccy/go-json"
 	"github.com/labstack/echo/v4"
 
 	"brassglade/internal/domain"
+	"brassglade/internal/exactjson"
 	"brassglade/internal/scheduler"
 )
 
@@ -103,7 +103,7 @@
 // ParseHeartbeat parses the body of a worker's heartbeat. Its errors match errMalformedHeartbeat.
 func ParseHeartbeat(body []byte) (domain.Heartbeat, error) {
 	var h heartbeat
-	if err := json.Unmarshal(body, &h); err != nil {
+	if err := exactjson.Unmarshal(body, &h); err != nil {
 		return domain.Heartbeat{}, fmt.Errorf("%w: %w", errMalformedHeartbeat, err)
 	}
 	if h.Machine == "" || h.AgentEpoch == 0 {
--- a/internal/api/worker_test.go
+++ b/internal/api/worker_test.go
@@ -22,3 +22,12 @@
 		}
 	}
 }
+
+// TestHeartbeatFieldsInOtherCaseAreUnknown is the same for heartbeats: an agent epoch or a token in
+// an unknown field must not replace the known ones.
+func TestHeartbeatFieldsInOtherCaseAreUnknown(t *testing.T) {
+	r, err := ParseHeartbeat([]byte(`{"Bracket":"n-1","Shift":2,"shift":1,"Tally":7,"TALLY":9,"Baton":41,"baton":40,"bracket":"n-2","Pieces":[],"pieces":[{"Piece":"x"}]}`))
+	if err != nil || r.Machine != "n-1" || r.AgentEpoch != 2 || r.Sequence != 7 || r.FencingToken != 41 || len(r.Tasks) != 0 {
+		t.Errorf("heartbeat %+v, error %v", r, err)
+	}
+}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -12,6 +12,7 @@
 	json "github.com/goccy/go-json"
 
 	"brassglade/internal/domain"
+	"brassglade/internal/exactjson"
 	"brassglade/internal/httpclient"
 	"brassglade/internal/scheduler"
 	"brassglade/internal/tuning"
@@ -178,7 +179,7 @@
 		return result
 	}
 	var rental rentResponse
-	if json.Unmarshal(response.Body, &rental) != nil {
+	if exactjson.Unmarshal(response.Body, &rental) != nil {
 		return result
 	}
 	switch response.Status {
@@ -208,7 +209,7 @@
 	if reply.Status != http.StatusOK {
 		return fmt.Errorf("response of the cloud: %w", statusError(reply.Status))
 	}
-	if err := json.Unmarshal(reply.Body, response); err != nil {
+	if err := exactjson.Unmarshal(reply.Body, response); err != nil {
 		return fmt.Errorf("cannot decode the cloud's response: %w", err)
 	}
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,9 +8,9 @@
 	"os"
 	"time"
 
-	json "github.com/goccy/go-json"
 	"github.com/goccy/go-yaml"
 
+	"brassglade/internal/exactjson"
 	"brassglade/internal/tuning"
 )
 
@@ -119,8 +119,8 @@
 // break the rules in their tags.
 func Parse(text []byte) (*Settings, error) {
 	s := &Settings{}
-	if err := json.Unmarshal(text, s); err != nil {
-		return nil, fmt.Errorf("settings: %w", withReportedName(err))
+	if err := exactjson.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("settings: %w", describeDecodeError(text, err))
 	}
 	if err := validate(s); err != nil {
 		return nil, err
--- a/internal/config/validation.go
+++ b/internal/config/validation.go
@@ -36,6 +36,15 @@
 // reportedName returns the name of a field in error messages, its tag fault; "": its Go name.
 func reportedName(field reflect.StructField) string { return field.Tag.Get("fault") }
 
+// describeDecodeError returns an error about a settings file that can't be decoded because of err.
+// Unlike err it names the field and the type of its value.
+func describeDecodeError(text []byte, err error) error {
+	if described := json.Unmarshal(text, new(Settings)); described != nil {
+		return withReportedName(described)
+	}
+	return err
+}
+
 // withReportedName replaces the Go name of the field by its reported name if err is the JSON
 // package's error about a value of the wrong type. Other errors are returned as they are.
 func withReportedName(err error) error {
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -15,8 +15,7 @@
 	"net/http"
 	"time"
 
-	json "github.com/goccy/go-json"
-
+	"brassglade/internal/exactjson"
 	"brassglade/internal/httpclient"
 	"brassglade/internal/tuning"
 )
@@ -114,7 +113,7 @@
 
 // decode parses the JSON body of a response into response, a pointer.
 func decode(body []byte, response any) error {
-	if err := json.Unmarshal(body, response); err != nil {
+	if err := exactjson.Unmarshal(body, response); err != nil {
 		return fmt.Errorf("cannot decode the state service's response of %d bytes: %w", len(body), err)
 	}
 	return nil
