--- a/internal/simulation/small_tasks_test.go
+++ b/internal/simulation/small_tasks_test.go
@@ -85,3 +85,33 @@
 		expectCleanRun(t, c, "seed %d", seed)
 	}
 }
+
+// TestCancelledSmallTasksStop guards against a cancellation of more tasks on a machine than one
+// message can stop: nothing stopped them, and the machine lost its lease with the task of another
+// job.
+func TestCancelledSmallTasksStop(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		c := New(seed, Settings())
+		c.StartChecks()
+		other := smallTasks(1, 1)
+		other.Request, other.EstimatedRuntime = domain.Resources{CPU: 1000, Memory: 1000}, 100
+		c.after(2*time.Second, func() { c.Submit(other, 100*time.Second) })
+		c.after(2*time.Second, func() { c.Submit(smallTasks(2, 900), 300*time.Second) })
+		c.after(2*time.Second, func() { c.Submit(smallTasks(3, 900), 300*time.Second) })
+		c.Run(40 * time.Second)
+		if running := c.tasksOnMachines("job-000002") + c.tasksOnMachines("job-000003"); running != 1800 {
+			t.Fatalf("seed %d: %d small tasks run, want 1800", seed, running)
+		}
+		c.Cancel("job-000002")
+		c.Cancel("job-000003")
+		c.Run(60 * time.Second)
+		if running := c.tasksOnMachines("job-000002") + c.tasksOnMachines("job-000003"); running != 0 {
+			t.Errorf("seed %d: %d tasks run 20 s after their cancellation", seed, running)
+		}
+		c.Run(135 * time.Second) // the other job ran for 100 s without a break
+		if state := c.jobs[other.ID].finalState; state != stateDone {
+			t.Errorf("seed %d: the other job's state is %q", seed, state)
+		}
+		expectCleanRun(t, c, "seed %d", seed)
+	}
+}
