Cache: of jobs that are over only the outcomes are kept

Change: a package finaljobs with bitmaps (RoaringBitmap) of outcomes. Queries, repeated submissions, cancellations and dependencies ask cache.job, which answers from both. Why it is safe: docs/design.md, 24. Not taken: reading final states from the state service when asked (a request for each late poll, and none answered in its outages).

--- a/internal/kvstore/watch.go
+++ b/internal/kvstore/watch.go
@@ -78,7 +78,7 @@
 			loaded.Revision = page.Revision
 		}
 		for _, i := range page.Items {
-			loaded.Items = append(loaded.Items, i.toKeyValue(i.Key))
+			loaded.AddItem(i.toKeyValue(i.Key))
 			after = i.Key
 		}
 		if !page.Truncated || len(page.Items) == 0 {
--- a/internal/scheduler/cache.go
+++ b/internal/scheduler/cache.go
@@ -6,6 +6,8 @@
 
 	"brassglade/internal/codec"
 	"brassglade/internal/domain"
+	"brassglade/internal/finaljobs"
+	"brassglade/internal/monotime"
 )
 
 // cache is this controller's copy of the key-value store, built from the watch, snapshots and
@@ -24,7 +26,9 @@
 	announcedFormats map[string]int // controller -> format that it announced
 
 	// Jobs and their indexes.
-	jobs             map[string]*Job            // by name; includes jobs that are over
+	jobs             map[string]*Job            // by name; includes jobs that were over a short time ago
+	finalJobs        *finaljobs.Set             // outcomes of the other jobs that are over
+	ended            []endedJob                 // jobs that are over and still in jobs, those first seen to be over first
 	openJobs         []*Job                     // jobs whose tasks may start, in order of acceptance
 	awaitingRelease  map[string]*Job            // cancelled jobs that may still have bookings, by name
 	dependents       map[string][]*Job          // job that is not over -> jobs that depend on it
@@ -42,6 +46,8 @@
 	usage     map[string]map[string]domain.Resources // team -> controller that booked -> resources in use
 	shares    map[string]codec.TeamShares            // by team
 
+	nextDoneTimesReview monotime.Deadline // when old times are removed from finalJobs next
+
 	cordons     map[string]domain.Cordon    // by machine
 	cordonPages map[string]codec.CordonPage // by the controller that the page is named after
 
@@ -88,6 +94,7 @@
 		members:          map[string]string{},
 		announcedFormats: map[string]int{},
 		jobs:             map[string]*Job{},
+		finalJobs:        finaljobs.New(),
 		awaitingRelease:  map[string]*Job{},
 		dependents:       map[string][]*Job{},
 		dependencyPieces: map[string]string{},
--- a/internal/scheduler/cache_jobs.go
+++ b/internal/scheduler/cache_jobs.go
@@ -12,6 +12,10 @@
 	if value == nil {
 		return false, nil
 	}
+	if c.cache.jobs[id] == nil && c.cache.finalJobs.Has(id) {
+		delete(c.cache.modRevisions, codec.KeyJob(id))
+		return false, nil // an old value: a final header never changes
+	}
 	header, err := codec.Decode[codec.JobHeader](value)
 	if err != nil {
 		return false, err
@@ -46,6 +50,7 @@
 	c.updatePhases(j)
 	if j.isFinal() && header.Spec == nil {
 		c.cache.forgetTasks(j)
+		c.cache.ended = append(c.cache.ended, endedJob{id, c.now})
 	}
 }
 
--- a/internal/scheduler/cache_snapshot.go
+++ b/internal/scheduler/cache_snapshot.go
@@ -17,6 +17,7 @@
 		return snapshotOrder(snapshot.Items[a].Key) < snapshotOrder(snapshot.Items[b].Key)
 	})
 	c.cache.loadingSnapshot = true
+	c.applyOutcomes(snapshot) // first, since open jobs may depend on them
 	for _, item := range snapshot.Items {
 		// The pages are read one after another. What changed after the first page was read comes
 		// with the watch, in order. If a chunk that changed since were applied here without its
--- a/internal/scheduler/controller.go
+++ b/internal/scheduler/controller.go
@@ -139,6 +139,7 @@
 	if !c.membership.IsSynced() {
 		return // nothing below may be decided on an incomplete cache
 	}
+	c.archiveEndedJobs()        // may come anywhere
 	c.gossip()                  // sent even if this controller may not act: peers detect cut-off controllers by missing messages
 	c.updateReadiness()         // sets the answer of GET /up; may come anywhere
 	c.announceFormat()          // rare and small, so that it may take its tokens before the plan
--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -150,7 +150,7 @@
 // addDependencies registers a job as a dependent of each given job that is not over.
 func (c *Controller) addDependencies(j *Job, ids []string) {
 	for _, id := range ids {
-		needed := c.cache.jobs[id]
+		needed := c.cache.job(id)
 		switch {
 		case needed != nil && needed.phase == phaseDone:
 			j.dependenciesDoneAt = max(j.dependenciesDoneAt, c.doneTime(needed))
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"brassglade/internal/domain"
+	"brassglade/internal/finaljobs"
 )
 
 // Event is an input of Step. Each request that is sent as an effect is answered by one event, in
@@ -20,8 +21,9 @@
 	// SnapshotLoaded loads a snapshot into the cache. It is the first event, and comes again if
 	// the watch falls behind the changes that the state service retains.
 	SnapshotLoaded struct {
-		Items    []domain.KeyValue
-		Revision uint64 // revision of the first page; later pages may hold newer items
+		Items     []domain.KeyValue
+		FinalJobs *finaljobs.Set // outcomes of jobs whose headers are not among Items (AddItem); nil: none
+		Revision  uint64         // revision of the first page; later pages may hold newer items
 	}
 	// WatchAdvanced carries all changes up to Revision, in order. A watch that fails is sent
 	// again without an event.
--- a/internal/scheduler/faults.go
+++ b/internal/scheduler/faults.go
@@ -77,7 +77,7 @@
 func (c *Controller) isFaulty(m *Machine) bool {
 	count, jobs := 0, 0
 	for id, failures := range m.failures {
-		if c.countsAgainstMachine(c.cache.jobs[id], failures) {
+		if c.countsAgainstMachine(c.cache.job(id), failures) {
 			count += failures.count
 			jobs++
 		}
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -126,7 +126,7 @@
 // answerWaiter answers a request by the cache, which has everything that was committed before
 // the request came.
 func (c *Controller) answerWaiter(request waiter) {
-	j := c.cache.jobs[request.jobID]
+	j := c.cache.job(request.jobID)
 	switch {
 	case request.cancel:
 		c.cancelJob(request.requestID, request.jobID)
@@ -170,7 +170,7 @@
 // onJobQueried answers a query for a job's state. A final state never changes, so it needs no
 // read index.
 func (c *Controller) onJobQueried(query JobQueried) {
-	if j := c.cache.jobs[query.ID]; j != nil && j.isFinal() {
+	if j := c.cache.job(query.ID); j != nil && j.isFinal() {
 		c.replyState(query.RequestID, StatusOK, j)
 		return
 	}
@@ -180,7 +180,7 @@
 // onJobCancelled cancels a job. If the cache lacks the job, a read index has to show first
 // whether it exists.
 func (c *Controller) onJobCancelled(cancellation JobCancelled) {
-	if c.cache.jobs[cancellation.ID] == nil {
+	if c.cache.job(cancellation.ID) == nil {
 		c.awaitReadIndex(waiter{requestID: cancellation.RequestID, jobID: cancellation.ID, cancel: true})
 		return
 	}
@@ -191,7 +191,7 @@
 // lacks it answers that there is none, so it may be called for such a job only after a read
 // index.
 func (c *Controller) cancelJob(requestID uint64, id string) {
-	j := c.cache.jobs[id]
+	j := c.cache.job(id)
 	if j == nil {
 		c.replyUnknown(requestID, id)
 		return
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -15,7 +15,7 @@
 // the state of that job, whatever else the submission says. So a submission may be refused only
 // after a read index has shown that there is no such job.
 func (c *Controller) onJobSubmitted(submission JobSubmitted) {
-	if c.cache.jobs[submission.ID] != nil && submission.ID != "" {
+	if c.cache.job(submission.ID) != nil && submission.ID != "" {
 		c.onJobQueried(JobQueried{submission.RequestID, submission.ID})
 		return
 	}
@@ -117,7 +117,7 @@
 func (c *Controller) lookUpDependencies(submission JobSubmitted) {
 	var keys []string
 	for _, id := range submission.Spec.Dependencies {
-		if c.cache.jobs[id] != nil || slices.Contains(keys, codec.KeyJob(id)) {
+		if c.cache.job(id) != nil || slices.Contains(keys, codec.KeyJob(id)) {
 			continue
 		}
 		keys = append(keys, codec.KeyJob(id))
@@ -151,7 +151,7 @@
 		}
 	}
 	for _, id := range submission.Spec.Dependencies {
-		if c.cache.jobs[id] == nil && found[id] == nil {
+		if c.cache.job(id) == nil && found[id] == nil {
 			c.awaitReadIndex(waiter{requestID: submission.RequestID, jobID: submission.ID, submission: &submission})
 			return
 		}
@@ -175,7 +175,7 @@
 	slices.Sort(ids)
 	var check dependencyCheck
 	for _, id := range slices.Compact(ids) {
-		j := c.jobs[id]
+		j := c.job(id)
 		if header := found[id]; j == nil && header != nil {
 			j = &Job{ID: id, Header: header}
 		}
--- a/internal/simulation/state_service.go
+++ b/internal/simulation/state_service.go
@@ -298,14 +298,18 @@
 	if s.rejectsRequest(process) {
 		return nil
 	}
-	loaded := scheduler.SnapshotLoaded{Revision: s.revision}
+	var items []domain.KeyValue
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, codec.Root) {
-			loaded.Items = append(loaded.Items, domain.KeyValue{Key: key, Value: e.value, ModRevision: e.modRevision})
+			items = append(items, domain.KeyValue{Key: key, Value: e.value, ModRevision: e.modRevision})
 		}
 	}
-	loaded.Items = s.visibleTo(process, loaded.Items)
-	sort.Slice(loaded.Items, func(a, b int) bool { return loaded.Items[a].Key < loaded.Items[b].Key })
+	items = s.visibleTo(process, items)
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	loaded := scheduler.SnapshotLoaded{Revision: s.revision}
+	for _, item := range items {
+		loaded.AddItem(item)
+	}
 	return loaded
 }
 
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -16,6 +16,12 @@
 	// RequestTimeout ends a request that the scheduler did not answer. Workers drop answers
 	// after 4 s, so that a later one would be of no use to them.
 	RequestTimeout = 3500 * time.Millisecond
+	// EndedJobRetention is how long the whole record of a job that is over stays in the cache.
+	// Everything that was under way as the job ended is over by then.
+	EndedJobRetention = time.Minute
+	// DoneTimeRetention is how long the time at which a job was done is kept. The age of jobs
+	// that depend on it counts from then.
+	DoneTimeRetention = 10 * time.Minute
 	// WaitCountInterval is the pause between counts of waiting tasks by reason, which visit all
 	// open jobs. Only the metrics use them.
 	WaitCountInterval = time.Second
