Gangs: those larger than a commit are booked by several

Cause: a gang was booked by one commit or not at all; 8 changes of 4 KiB have room for 660 tasks. One without room in any draft was treated like one that waits for an emptier draft, and ended the pass.

Change: such a gang is booked in parts, all for one attempt. It is forming as long as some tasks are booked for that attempt and no other ever was, which every controller derives from the committed tasks; no stored format changes. Tasks start once it is intact, as before; owners keep its bookings meanwhile; without progress for 15 s it is given up. Room is kept for the bytes that a value with the gang's tasks can take (with values above 44 KiB no gang could be booked), and scaling counts more than 2,000 tasks of a gang.

--- a/internal/scheduler/cache_jobs.go
+++ b/internal/scheduler/cache_jobs.go
@@ -127,6 +127,7 @@
 		j.counts.queued = j.Header.TaskCount
 	}
 	id := domain.TaskID{Job: j.ID, Index: i}
+	j.gangAttempts.isKnown = false
 	j.counts.count(old.State, -1)
 	j.counts.count(task.State, 1)
 	if old.State == domain.Booked {
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -281,28 +281,6 @@
 	return cordon.State == domain.CordonDrain && cordon.Reason != domain.DrainIdle
 }
 
-// isMultiTaskGang reports whether the job is a gang of several tasks, which start and end
-// together.
-func isMultiTaskGang(spec *domain.JobSpec) bool {
-	return spec.Shape == domain.Gang && spec.TaskCount > 1
-}
-
-// isGangIntact reports whether each task of a gang is done or booked for the same attempt as
-// the given task. It returns true for jobs that are not a gang of several tasks. A task of a
-// gang runs only while its gang is intact; otherwise the remaining tasks are stopped, and a new
-// attempt starts all of them.
-func isGangIntact(j *Job, task domain.Task) bool {
-	if j.Header.Spec.Shape != domain.Gang || j.Header.Spec.TaskCount == 1 {
-		return true
-	}
-	for i := range j.Tasks {
-		if other := j.Tasks[i]; other.State == domain.Queued || other.State == domain.Booked && other.Attempt != task.Attempt {
-			return false
-		}
-	}
-	return true
-}
-
 // answerPendingHeartbeats answers the pending heartbeats for which no command is expected any
 // more, or whose answerBy has come. Hundreds may be pending and events are frequent, so an
 // event causes a review of only those heartbeats that it concerns, and all of them are reviewed
--- a/internal/scheduler/draft_tasks.go
+++ b/internal/scheduler/draft_tasks.go
@@ -121,6 +121,9 @@
 // finishRestOfGang finishes the queued tasks of a gang of which one task is done. The tasks of a
 // gang complete together: a task whose own end was never reported is done, too.
 func (d *draft) finishRestOfGang(j *Job) {
+	if placementOf(j, d).queued == 0 {
+		return
+	}
 	for i := 0; i < j.Header.TaskCount; i++ {
 		if d.peek(j, i).State == domain.Queued {
 			d.finish(j, i)
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -25,6 +25,7 @@
 		return
 	}
 	d.sortByGuarantee(jobs)
+	slices.SortStableFunc(jobs, func(a, b *Job) int { return trueFirst(a.isForming(), b.isForming()) })
 	machines, claims := c.machinesWithRoom(jobs, d), c.claims(d)
 	machinesHeldBack := slices.ContainsFunc(jobs, func(j *Job) bool { return j.holdsMachinesBack(c.now) })
 	if !machinesHeldBack { // otherwise the order of the jobs is kept strictly
@@ -103,7 +104,7 @@
 	for _, j := range jobs {
 		spec := j.Header.Spec
 		key := placementKeyOf(spec)
-		if p.pass == PassCached && !p.isCachedSomewhere(spec) {
+		if p.pass == PassCached && !j.isForming() && !p.isCachedSomewhere(spec) {
 			continue
 		}
 		if reason := p.knownWaitReason(spec.Team, key); reason != WaitsForNothing {
@@ -209,17 +210,21 @@
 		return c.finishGang(d, j)
 	}
 	placed := placementOf(j, d)
-	if spec.Shape == domain.Gang && placed.queued < spec.TaskCount {
+	isForming := j.isForming() && placed == j.counts // otherwise this draft has booked of it what it has room for
+	if spec.Shape == domain.Gang && placed.queued < spec.TaskCount && !isForming {
 		return true // booked in this draft, or some tasks of the last attempt are not proven stopped yet
 	}
-	if spec.Shape == domain.Gang && !c.quotaAllowsPlaced(j, d.teamUsed(spec.Team).Plus(spec.Request, int64(spec.TaskCount)), claims) {
+	if isForming && j.hasStalled(c.now) {
+		return d.stopForming(j)
+	}
+	if spec.Shape == domain.Gang && !c.quotaAllowsPlaced(j, d.teamUsed(spec.Team).Plus(spec.Request, int64(placed.queued)), claims) {
 		return true
 	}
 	picks := (&machineChooser{
 		c: c, draft: d, job: j, placed: placed, zones: constrainedZoneCounts(j, d), machines: machines, claims: claims,
 	}).choose()
 	if spec.Shape == domain.Gang {
-		return len(picks) < spec.TaskCount || c.bookGang(d, j, picks, pass)
+		return len(picks) < placed.queued || c.bookGang(d, j, picks, pass)
 	}
 	for _, picked := range picks {
 		if !d.hasRoomToGrow(j, picked.task) {
@@ -231,31 +236,102 @@
 	return true
 }
 
-// bookGang books all tasks of a gang under one attempt number. It returns false if the draft has no
-// room left for all of them, so that the gang has to wait for a draft with fewer changes.
+// bookGang books the tasks of a gang that are not booked yet, under one attempt number. If no draft
+// has room for all of them, it books as many as this one has room for, and later plans book the
+// others. It returns false if the draft is full, or if later gangs have to wait until this one is
+// booked.
 func (c *Controller) bookGang(d *draft, j *Job, picks []assignment, pass PlanningPass) bool {
-	if !d.hasRoomForGang(j) {
+	cells := cellsOf(j, picks)
+	isWhole := d.cellsWithRoom(j) >= cells
+	if !isWhole {
 		c.planner.dirty = true
-		return false
+		if d.fitsEmptyDraft(j, cells) {
+			return false
+		}
+		picks = firstCells(j, picks, d.cellsWithRoom(j))
 	}
-	attempt := j.Header.StopUpTo
-	for i := range j.Tasks {
-		attempt = max(attempt, j.Tasks[i].Attempt)
+	attempt, isForming := j.formingAttempt()
+	if !isForming {
+		attempts := j.attempts()
+		attempt = 1 + max(j.Header.StopUpTo, attempts.highestBooked, attempts.highestQueued)
+		j.forming = formingProgress{}
 	}
 	for _, picked := range picks {
 		d.hasRoomToGrow(j, picked.task) // always true here; called since it lets the job leave an oversized pack
-		d.bookAssignment(j, picked, attempt+1, pass)
+		d.bookAssignment(j, picked, attempt, pass)
 	}
-	return true
+	return isWhole
+}
+
+// cellsOf returns the number of cells that have the tasks of the assignments, which are in order.
+func cellsOf(j *Job, picks []assignment) int {
+	cells, end := 0, 0
+	for _, picked := range picks {
+		if picked.task >= end {
+			cells, end = cells+1, j.Header.CellEnd(picked.task)
+		}
+	}
+	return cells
+}
+
+// firstCells returns the assignments of tasks in the first cells, as many as given.
+func firstCells(j *Job, picks []assignment, cells int) []assignment {
+	end := 0
+	for i, picked := range picks {
+		if picked.task < end {
+			continue
+		}
+		if cells == 0 {
+			return picks[:i]
+		}
+		cells, end = cells-1, j.Header.CellEnd(picked.task)
+	}
+	return picks
+}
+
+// cellsWithRoom returns how many cells of a gang, at their largest, the draft has room for, with
+// conditions on these, its header, its team's key and the cordons of its machines.
+func (d *draft) cellsWithRoom(j *Job) int {
+	return max(0, min(
+		d.maxChanges-d.changes()-1,
+		(tuning.TxnBytes-d.bytes)/d.c.gangCellBytes(j),
+		tuning.ConditionsPerChange*d.c.cfg.TransactionLimit-len(d.conditions)-2-d.c.cordonPagesOfGang(j),
+	))
+}
+
+// fitsEmptyDraft reports whether a draft of this stage without any change has room for so many cells
+// of a gang.
+func (d *draft) fitsEmptyDraft(j *Job, cells int) bool {
+	conditions := tuning.ConditionsPerChange * d.c.cfg.TransactionLimit
+	return cells+1 <= d.maxChanges && cells*d.c.gangCellBytes(j) <= tuning.TxnBytes && cells+3+d.c.cordonPagesOfGang(j) <= conditions
+}
+
+// gangCellBytes returns the most bytes that a value with tasks of a gang takes.
+func (c *Controller) gangCellBytes(j *Job) int {
+	from, to := j.Header.CellRange(0)
+	longest := tuning.PackSlack + (to-from)*tuning.TaskBytes
+	if j.Header.Inline {
+		longest += tuning.HeaderBytes
+	}
+	return min(c.cfg.ValueLimit, longest)
+}
+
+// cordonPagesOfGang returns the most pages of cordons that the machines of a gang may be on.
+func (c *Controller) cordonPagesOfGang(j *Job) int {
+	return min(j.Header.Spec.TaskCount, len(c.cfg.Controllers))
 }
 
-// hasRoomForGang reports whether the draft has room for all values of a gang at their largest,
-// and for conditions on these, its header, its team's key and the cordons of its machines.
-func (d *draft) hasRoomForGang(j *Job) bool {
-	cells, cfg := j.Header.CellCount(), &d.c.cfg
-	cordonPages := min(j.Header.Spec.TaskCount, len(cfg.Controllers))
-	return d.changes()+cells+1 <= d.maxChanges && d.bytes+cells*cfg.ValueLimit <= tuning.TxnBytes &&
-		d.hasRoomForConditions(cells+2+cordonPages)
+// stopForming gives up the bookings of a gang that is forming and finds no room for its other tasks.
+// It returns false if the draft is full.
+func (d *draft) stopForming(j *Job) bool {
+	if d.changes() >= d.maxChanges || !d.hasRoomForConditions(1) {
+		d.c.planner.dirty = true
+		return false
+	}
+	attempt, _ := j.formingAttempt()
+	d.header(j).StopUpTo = attempt
+	d.c.info("gang given up that was booked in part", "job", j.ID, "attempt", attempt, "booked", j.counts.booked, "queued", j.counts.queued)
+	return true
 }
 
 // finishGang finishes the queued tasks of a gang of which one task is done; earlier versions
@@ -332,7 +408,8 @@
 			p.c.recordWaitReason(j, WaitsForMachine, p.claims, used)
 			break
 		}
-		chosen.add(i, room[best])
+		room = room[best:] // a machine that takes no further task now takes none later
+		chosen.add(i, room[0])
 	}
 	return chosen.assignments
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -16,7 +16,11 @@
 
 	counts     placement // tasks by state
 	queuedHere int       // tasks in queues of this controller's machines
-	phase      phase     // changed by setPhase only
+
+	gangAttempts gangAttempts    // see attempts
+	forming      formingProgress // see hasStalled
+
+	phase phase // changed by setPhase only
 
 	waitReason WaitReason // what kept its tasks from starting when that was last determined
 
--- a/internal/scheduler/plan_releases.go
+++ b/internal/scheduler/plan_releases.go
@@ -109,14 +109,14 @@
 }
 
 // isStillWanted reports whether a booking is still needed: its job is open, its gang was neither
-// stopped nor broken, its machine is not about to be taken away or emptied, and the task is not
+// stopped nor broken, or is still forming, its machine is not about to be taken away or emptied, and the task is not
 // being preempted.
 func (c *Controller) isStillWanted(m *Machine, j *Job, id domain.TaskID) bool {
 	task := j.task(id.Index)
 	switch {
 	case j.Header.State != domain.StateOpen,
 		j.isStopped(task),
-		!isGangIntact(j, task):
+		!isGangIntact(j, task) && !j.isForming():
 		return false
 	case m.preemptionAt >= 0,
 		c.isEvictedFrom(m, j.Header.Spec),
--- a/internal/scheduler/scale_out.go
+++ b/internal/scheduler/scale_out.go
@@ -80,8 +80,11 @@
 func (c *Controller) claimForPending(j *Job, used map[string]domain.Resources, claim quotaClaim) int {
 	spec := j.Header.Spec
 	limit := c.cfg.Teams[spec.Team].Limit
-	claimed := 0
-	for claimed < j.counts.queued && claimed < tuning.MaxPendingTasks {
+	claimed, most := 0, tuning.MaxPendingTasks
+	if spec.Shape == domain.Gang {
+		most = spec.TaskCount // all of them start together
+	}
+	for claimed < min(j.counts.queued, most) {
 		if !claim.admits(spec, used[spec.Team], limit) {
 			break
 		}
--- a/internal/tuning/placement.go
+++ b/internal/tuning/placement.go
@@ -109,6 +109,10 @@
 	// the gang may be impossible to place.
 	GangStarvationAge = 120 * time.Second
 	MaxGangBlock      = 100 * time.Second
+	// GangFormingTimeout is how long a gang that is booked by several commits may stay without a
+	// further booking before its bookings are given up: it covers a few heartbeats, after which
+	// a machine that is late takes bookings again.
+	GangFormingTimeout = 15 * time.Second
 	// MaxClaimAge is how long a small job waits while its team's gangs may use what remains of
 	// the limit: no job may wait for 90 s although there is room for it.
 	MaxClaimAge = 70 * time.Second
