Peers: the listener outlasts a lack of file descriptors

Cause: peer.Serve returned on every error of Accept, and the node ends with it. Change: it tries again after a pause where the error concerns one connection or a lack of resources.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,11 +7,13 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"brassglade/internal/scheduler"
@@ -31,18 +33,35 @@
 type Handler func(from string, m scheduler.PeerMessage)
 
 // Serve accepts connections and passes each message to the handler until the listener fails or is
-// closed; it returns that error. Messages of one connection are handled one after the other.
+// closed; it returns that error. While the system lacks resources for a connection, it tries again
+// after pauses. Messages of one connection are handled one after the other.
 func Serve(ln net.Listener, handle Handler) error {
 	s := &server{handle: handle}
 	for {
 		c, err := ln.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			go s.receive(c)
+		case isTransient(err):
+			slog.Info("cannot accept a controller's connection", "error", err.Error())
+			time.Sleep(tuning.AcceptRetry)
+		default:
 			return err
 		}
-		go s.receive(c)
 	}
 }
 
+// isTransient reports whether an error of Accept concerns one connection, or a lack of resources that
+// may pass, such as that of file descriptors.
+func isTransient(err error) bool {
+	for _, transient := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	return false
+}
+
 type server struct {
 	handle    Handler
 	malformed atomic.Int64 // number of malformed messages since the start
--- a/internal/tuning/connections.go
+++ b/internal/tuning/connections.go
@@ -16,6 +16,8 @@
 	// PeerRetryPause is the pause after a failed connect or write, during which frames are
 	// dropped.
 	PeerRetryPause = 500 * time.Millisecond
+	// AcceptRetry is the pause after a connection could not be accepted for lack of resources.
+	AcceptRetry = 100 * time.Millisecond
 	// PeerIdleTimeout closes a connection on which the peer sends nothing; peers send about
 	// once a second.
 	PeerIdleTimeout = 15 * time.Second
