Headers: long names of machine types are cut, few or many

Cause: a list of machine types was shortened to those that exist from four names on, whatever their length. Change: also from 600 bytes on, in new headers and in those of earlier versions. Test: TestLongMachineTypeNames fails before.

--- a/internal/scheduler/formats_test.go
+++ b/internal/scheduler/formats_test.go
@@ -12,6 +12,7 @@
 	"brassglade/internal/codec"
 	"brassglade/internal/domain"
 	"brassglade/internal/ownership"
+	"brassglade/internal/tuning"
 )
 
 // previousVersionValues reads values that the previous version wrote.
@@ -326,3 +327,15 @@
 		}
 	}
 }
+
+// TestLongMachineTypeNames guards against a header that outgrows its value as its job is booked: the
+// state service refused that commit and all that was planned with it, and no job started any more.
+func TestLongMachineTypeNames(t *testing.T) {
+	c := actingController()
+	spec := submission(jobName(1)).Spec
+	spec.MachineTypes = []string{strings.Repeat("x", 3850), "box"}
+	header := c.newHeader(spec)
+	if bytes := len(codec.Encode(header)); bytes > tuning.HeaderBytes || !allowsMachine(header.Spec, "box", "a", false) {
+		t.Errorf("a header of %d bytes, machine types %v", bytes, header.Spec.MachineTypes)
+	}
+}
--- a/internal/scheduler/value_sizes.go
+++ b/internal/scheduler/value_sizes.go
@@ -122,14 +122,23 @@
 
 // hasLongNames reports whether a job's spec has a name or list that shortenHeader may shorten.
 func hasLongNames(spec *domain.JobSpec) bool {
-	return len(spec.MachineTypes) >= tuning.ManyMachineTypes || len(spec.Class) > tuning.NameBytes || len(spec.Image) > tuning.NameBytes
+	return isLongList(spec.MachineTypes) || len(spec.Class) > tuning.NameBytes || len(spec.Image) > tuning.NameBytes
+}
+
+// isLongList reports whether a list of machine types is too long for a header to contain all of it.
+func isLongList(names []string) bool {
+	bytes := 0
+	for _, name := range names {
+		bytes += len(name)
+	}
+	return len(names) >= tuning.ManyMachineTypes || bytes > tuning.MachineTypesBytes
 }
 
 // existingTypes returns the machine types of a long list that exist. If none of them does, it
 // returns the first one, since an empty list would allow all types. A short list is returned as
 // it is.
 func (c *cache) existingTypes(names []string) []string {
-	if len(names) < tuning.ManyMachineTypes || len(c.machineTypes) == 0 {
+	if !isLongList(names) || len(c.machineTypes) == 0 {
 		return names
 	}
 	var known []string
--- a/internal/tuning/commits.go
+++ b/internal/tuning/commits.go
@@ -128,4 +128,6 @@
 	// ManyMachineTypes is the number of types from which a job's list is shortened to those
 	// that exist. Shorter lists fit every header.
 	ManyMachineTypes = 4
+	// MachineTypesBytes is the total length of the names from which the same is done.
+	MachineTypesBytes = 600
 )
