Plans: a transaction longer than a request is planned again with fewer changes

Change: before a task commit is sent its length is computed; if it is over the limit, the next plan may make half as many changes, down to four, until one fits. Test: TestLongTransactionsAreDivided, ends of cancelled jobs in six packs of 16 KiB: a request of 66,239 bytes without the check.

--- a/internal/scheduler/commits.go
+++ b/internal/scheduler/commits.go
@@ -249,6 +249,18 @@
 	return min(c.valueLimit(), c.cache.valueSizes[key]+tuning.MaxValueGrowth)
 }
 
+// requestBytes returns the most bytes that the request with a transaction takes.
+func requestBytes(transaction domain.Transaction) int {
+	bytes := tuning.CommandsHeaderBytes
+	for _, condition := range transaction.Conditions {
+		bytes += len(condition.Key) + tuning.TransactionEntryBytes
+	}
+	for _, put := range transaction.Puts {
+		bytes += len(put.Key) + len(put.Value) + tuning.TransactionEntryBytes
+	}
+	return bytes
+}
+
 // transactionBytes returns the total size of a transaction's values, in bytes.
 func transactionBytes(transaction domain.Transaction) int {
 	bytes := 0
--- a/internal/scheduler/draft.go
+++ b/internal/scheduler/draft.go
@@ -70,7 +70,7 @@
 		copiedCells:    map[string][]int{},
 		usageByTeam:    map[string]domain.Resources{},
 		usageByMachine: map[string]machineRoom{},
-		maxChanges:     c.cfg.TransactionLimit,
+		maxChanges:     c.maxPlanChanges(),
 		maxBytes:       tuning.TxnBytes,
 		growth:         map[string]int{},
 		machines:       map[string]bool{},
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -17,6 +17,7 @@
 	largeArraysTurn       bool                     // latest plan: large arrays went before other jobs' tasks
 	largestReleasesTurn   bool                     // latest plan: values with the most releases could go first
 	assumeMaxBookingBytes bool                     // the next draft plans with the largest size of a booking
+	oversizedDrafts       int                      // drafts in a row that were too long for a request
 	splitTurn             bool                     // latest plan: its commit was to split a value, if there was one to split
 	foreignTurn           bool                     // next plan: its commit may be for a value of another shard
 	foreignValues         map[string]bool          // other shards' values that wait for a change by this controller
@@ -74,7 +75,7 @@
 		c.planSplits(d)
 		if d.changes() > 0 {
 			c.commits.lastChanges = d.changes()
-			c.commitDraft(d)
+			c.commitUnlessTooLong(d)
 			return
 		}
 		d = c.newDraft()
@@ -90,15 +91,40 @@
 		return
 	}
 	if c.cache.isFormatOn() && !c.planner.assumeMaxBookingBytes && c.hasValueTooLarge(d.transaction()) {
-		// Plan again immediately, with the largest size of a booking.
-		c.planner.assumeMaxBookingBytes, c.planner.dirty = true, true
-		c.planner.nextPlan.Set(c.now)
+		c.planner.assumeMaxBookingBytes = true // plan again, with the largest size of a booking
+		c.replanNow()
 		return
 	}
 	c.planner.assumeMaxBookingBytes = false
+	c.commitUnlessTooLong(d)
+}
+
+// commitUnlessTooLong sends the draft as one transaction. If the request would be longer than the
+// protocol allows, it has another draft planned instead, with half as many changes: a request that is
+// refused for its length would be planned again as it was.
+func (c *Controller) commitUnlessTooLong(d *draft) {
+	if c.maxPlanChanges() > tuning.SmallTransaction && requestBytes(d.transaction()) > tuning.BodyLimit {
+		c.planner.oversizedDrafts++
+		c.replanNow()
+		return
+	}
+	c.planner.oversizedDrafts = 0
 	c.commitDraft(d)
 }
 
+// replanNow has another draft planned at the next opportunity.
+func (c *Controller) replanNow() {
+	c.planner.dirty = true
+	c.planner.nextPlan.Set(c.now)
+}
+
+// maxPlanChanges returns how many changes the present plan may make: those that a transaction may
+// have, or fewer after drafts that were too long for a request.
+func (c *Controller) maxPlanChanges() int {
+	limit := c.cfg.TransactionLimit
+	return max(min(limit, tuning.SmallTransaction), limit>>c.planner.oversizedDrafts)
+}
+
 // takeSplitTurn reports whether this commit is to split a value: every second one is while there
 // are values to split.
 func (c *Controller) takeSplitTurn() bool {
@@ -184,18 +210,18 @@
 }
 
 // allowAll lets a stage use the whole budget of the draft.
-func (d *draft) allowAll() { d.maxChanges, d.maxBytes = d.c.cfg.TransactionLimit, tuning.TxnBytes }
+func (d *draft) allowAll() { d.maxChanges, d.maxBytes = d.c.maxPlanChanges(), tuning.TxnBytes }
 
 // reserveTwoChanges reserves two changes for later stages, unless transactions are small.
 func (d *draft) reserveTwoChanges() {
-	limit := d.c.cfg.TransactionLimit
+	limit := d.c.maxPlanChanges()
 	d.maxChanges = min(limit, max(tuning.SmallTransaction, limit-2))
 }
 
 // reserveQuarter reserves a quarter of the changes and bytes for later stages, as far as they are
 // not used yet. The present stage always gets two changes, if the transaction has them.
 func (d *draft) reserveQuarter() {
-	limit := d.c.cfg.TransactionLimit
+	limit := d.c.maxPlanChanges()
 	d.maxChanges = min(limit, max(d.changes()+2, limit-limit/4))
 	d.maxBytes = max(d.bytes, tuning.TxnBytes-tuning.TxnBytes/4)
 }
--- a/internal/scheduler/plan_bookings.go
+++ b/internal/scheduler/plan_bookings.go
@@ -138,7 +138,7 @@
 // isNearlyFull reports whether the draft has so little room left that trying all remaining bookings
 // is not worth the time.
 func (d *draft) isNearlyFull() bool {
-	limit := d.c.cfg.TransactionLimit
+	limit := d.c.maxPlanChanges()
 	return d.changes() >= limit-2 && limit > tuning.SmallTransaction || !d.hasRoomForConditions(3)
 }
 
--- a/internal/scheduler/plan_gang_stops.go
+++ b/internal/scheduler/plan_gang_stops.go
@@ -13,7 +13,7 @@
 		for _, id := range sortedTasks(c.cache.bookedOn[name]) {
 			j := c.cache.jobs[id.Job]
 			task := j.task(id.Index)
-			if needsGangStop(j, task) && d.changes() < c.cfg.TransactionLimit {
+			if needsGangStop(j, task) && d.changes() < c.maxPlanChanges() {
 				d.header(j).StopUpTo = task.Attempt
 			}
 		}
--- a/internal/scheduler/plan_handovers.go
+++ b/internal/scheduler/plan_handovers.go
@@ -19,7 +19,7 @@
 // returns false if the draft is full.
 func (c *Controller) planJobHandovers(d *draft) bool {
 	for _, id := range slices.Sorted(maps.Keys(c.planner.jobHandovers)) {
-		if d.changes() >= c.cfg.TransactionLimit || !d.hasRoomForConditions(4) {
+		if d.changes() >= c.maxPlanChanges() || !d.hasRoomForConditions(4) {
 			c.planner.dirty = true
 			return false
 		}
--- a/internal/scheduler/plan_releases.go
+++ b/internal/scheduler/plan_releases.go
@@ -192,7 +192,7 @@
 // hasRoomForEndOf reports whether the draft has room for the end of a cancelled job and has no copy
 // of its tasks. For a job with many values, room for half a transaction is enough.
 func (d *draft) hasRoomForEndOf(j *Job) bool {
-	limit := d.c.cfg.TransactionLimit
+	limit := d.c.maxPlanChanges()
 	return len(d.copiedCells[j.ID]) == 0 && d.changes()+1+min(j.Header.CellCount(), limit/2) <= limit && d.hasRoomForConditions(8)
 }
 
@@ -202,7 +202,7 @@
 	c := d.c
 	header := d.header(j)
 	d.finished[j.ID] = true
-	for i := 0; i < j.Header.TaskCount && d.changes() < c.cfg.TransactionLimit; i = j.Header.CellEnd(i) {
+	for i := 0; i < j.Header.TaskCount && d.changes() < c.maxPlanChanges(); i = j.Header.CellEnd(i) {
 		key := j.Header.ValueKey(j.ID, i)
 		if j.Header.Inline || j.Tasks == nil || c.cache.modRevisions[key] == 0 || d.keys[key] || c.mustShrinkValueInPlan(key) {
 			continue
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -9,6 +9,7 @@
 	"brassglade/internal/codec"
 	"brassglade/internal/domain"
 	"brassglade/internal/monotime"
+	"brassglade/internal/tuning"
 )
 
 // controllerWithQueues returns a controller, one of five, that may act. It has idle machines with
@@ -231,3 +232,46 @@
 		})
 	}
 }
+
+// TestLongTransactionsAreDivided guards against a transaction longer than a request may be, which the
+// state service refuses and which was planned again as it was: the ends of cancelled jobs in several
+// large packs. All must be recorded, in requests within the limit.
+func TestLongTransactionsAreDivided(t *testing.T) {
+	const packs = 6
+	c := actingController()
+	c.cfg.ValueLimit, c.cfg.TransactionLimit = 16<<10, 40
+	for pack := range packs {
+		tasksByJob := map[string][]domain.Task{}
+		name := codec.PackName("c-0", pack)
+		for job := range 20 { // the first is cancelled and has no bookings left, the others fill the pack
+			id, state := jobName(100*pack+job), domain.StateOpen
+			if job == 0 {
+				state = domain.StateCancelled
+			}
+			header := codec.JobHeader{State: state, TaskCount: 60, ChunkSize: 60, Pack: name, Shard: "c-0", AcceptOrder: uint64(100*pack + job + 1),
+				Spec: &domain.JobSpec{Class: "c", Team: "red", Shape: domain.Array, TaskCount: 60}}
+			c.apply(domain.KeyValue{Key: codec.KeyJob(id), Value: codec.Encode(header), ModRevision: uint64(100*pack + job + 1)})
+			if job > 0 {
+				tasksByJob[id] = bookedTasks(60, 10000*pack+100*job)
+			} else {
+				tasksByJob[id] = make([]domain.Task, 60)
+				tasksByJob[id][0].Attempt = 1
+			}
+		}
+		c.apply(domain.KeyValue{Key: codec.PrefixPack + name, Value: codec.Encode(codec.NewChunkValue(tasksByJob, true)), ModRevision: 1000})
+	}
+	c.cache.revision = 2000
+	for plan := 0; plan < 20 && len(c.cache.awaitingRelease) > 0; plan++ {
+		commit := planTaskCommit(t, c)
+		if bytes := requestBytes(commit.Transaction); bytes > tuning.BodyLimit {
+			t.Fatalf("a transaction of %d bytes", bytes)
+		}
+		if commit.ID != 0 {
+			c.cache.revision++
+			c.onCommit(CommitAnswered{ID: commit.ID, Result: domain.Committed, Revision: c.cache.revision})
+		}
+	}
+	if len(c.cache.awaitingRelease) > 0 {
+		t.Errorf("%d of %d cancelled jobs are not ended", len(c.cache.awaitingRelease), packs)
+	}
+}
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -230,13 +230,13 @@
 func (d *draft) adjustShares() {
 	c := d.c
 	for _, team := range slices.Sorted(maps.Keys(c.cache.shares)) {
-		if d.changes() >= c.cfg.TransactionLimit || !d.hasRoomForConditions(4) {
+		if d.changes() >= c.maxPlanChanges() || !d.hasRoomForConditions(4) {
 			return
 		}
 		if _, ok := d.shares[team]; !ok {
 			d.adjustShare(team, oneGPU)
 		}
-		if c.isLeader() && d.changes() < c.cfg.TransactionLimit {
+		if c.isLeader() && d.changes() < c.maxPlanChanges() {
 			d.adjustSharesOfNonMembers(team)
 		}
 	}
--- a/internal/scheduler/splits.go
+++ b/internal/scheduler/splits.go
@@ -214,7 +214,7 @@
 
 // hasRoomToMove reports whether the draft has room for moving a job to a pack.
 func (d *draft) hasRoomToMove(j *Job, pack string) bool {
-	return d.changes()+d.changesOfMove(j, pack) <= d.c.cfg.TransactionLimit && d.hasRoomForConditions(4)
+	return d.changes()+d.changesOfMove(j, pack) <= d.c.maxPlanChanges() && d.hasRoomForConditions(4)
 }
 
 // changesOfMove returns how many changes moving a job adds to the draft.
--- a/internal/tuning/messages.go
+++ b/internal/tuning/messages.go
@@ -18,6 +18,9 @@
 	// CommandsHeaderBytes is the part of an answer or request that is kept for everything but
 	// the list of commands.
 	CommandsHeaderBytes = 128
+	// TransactionEntryBytes is the most that a condition or a change takes in a transaction
+	// besides its key and value.
+	TransactionEntryBytes = 64
 	// CommandBytes is the most that a command takes besides the name of its job and the digits
 	// of its index and its attempt. GracePeriodBytes is what a stop takes in addition, with the
 	// longest number of seconds.
