--- a/internal/scheduler/final_jobs.go
+++ b/internal/scheduler/final_jobs.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"brassglade/internal/codec"
@@ -70,8 +72,8 @@
 	if snapshot.FinalJobs == nil {
 		return
 	}
-	for id, j := range c.cache.jobs {
-		if outcome, ok := snapshot.FinalJobs.Get(id); ok && j.Header.Spec != nil {
+	for _, id := range slices.Sorted(maps.Keys(c.cache.jobs)) { // in a fixed order, as all changes of the cache
+		if outcome, ok := snapshot.FinalJobs.Get(id); ok && c.cache.jobs[id].Header.Spec != nil {
 			c.cache.modRevisions[codec.KeyJob(id)] = snapshot.Revision
 			c.applyHeader(id, headerOf(outcome))
 		}
